--- /dev/null
+++ b/cmd/yewpass/client.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"yewpass/internal/config"
+	"yewpass/internal/policy"
+)
+
+// Exit codes of the client commands.
+const (
+	exitUsage       = 1 // bad arguments, files or an unreachable node
+	exitRejected    = 2 // the node says no for good: 400, 404, 422
+	exitUnavailable = 3 // the node says to come back later: 429, 503
+)
+
+// statusError is an answer that is not a success.
+type statusError struct {
+	status int
+	reason string
+	after  string
+}
+
+func (e *statusError) Error() string {
+	s := fmt.Sprintf("%d %s: %s", e.status, http.StatusText(e.status), e.reason)
+	if e.after != "" {
+		s += " (retry after " + e.after + " s)"
+	}
+	return s
+}
+
+func exitCode(err error) int {
+	var se *statusError
+	switch {
+	case !errors.As(err, &se):
+		return exitUsage
+	case se.status == http.StatusTooManyRequests || se.status >= 500:
+		return exitUnavailable
+	}
+	return exitRejected
+}
+
+func checkCommand() *cobra.Command {
+	var settings, rules string
+	cmd := &cobra.Command{
+		Use: "check", Short: "Check a settings file and a policy file", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if settings == "" && rules == "" {
+				return errors.New("check: give --config, --policy or both")
+			}
+			if settings != "" {
+				if _, err := config.Load(settings); err != nil {
+					return err
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), settings+": ok")
+			}
+			if rules != "" {
+				if _, err := policy.Load(rules); err != nil {
+					return err
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), rules+": ok")
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&settings, "config", "", "settings file")
+	cmd.Flags().StringVar(&rules, "policy", "", "policy file")
+	return cmd
+}
+
+func nodeFlag(cmd *cobra.Command) *string {
+	return cmd.Flags().String("node", "127.0.0.1:8080", "address of a node's client_listen")
+}
+
+func submitCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use: "submit FILE", Short: "Submit the job that a JSON file describes; - reads standard input", Args: cobra.ExactArgs(1),
+	}
+	node := nodeFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		var data []byte
+		var err error
+		if args[0] == "-" {
+			data, err = io.ReadAll(cmd.InOrStdin())
+		} else {
+			data, err = os.ReadFile(args[0])
+		}
+		if err != nil {
+			return err
+		}
+		return call(cmd, http.MethodPost, *node, "/v2/runs", data)
+	}
+	return cmd
+}
+
+func statusCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "status ID", Short: "Show a job's state", Args: cobra.ExactArgs(1)}
+	node := nodeFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		return call(cmd, http.MethodGet, *node, "/v2/runs/"+args[0], nil)
+	}
+	return cmd
+}
+
+func cancelCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "cancel ID", Short: "Cancel a job", Args: cobra.ExactArgs(1)}
+	node := nodeFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		return call(cmd, http.MethodPost, *node, "/v2/runs/"+args[0]+"/cancel", nil)
+	}
+	return cmd
+}
+
+func call(cmd *cobra.Command, method, node, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= 300 {
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(data, &e) != nil || e.Error == "" {
+			e.Error = "no reason given"
+		}
+		return &statusError{resp.StatusCode, e.Error, resp.Header.Get("Retry-After")}
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(data)))
+	return nil
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,192 @@
+// Package api serves users and workers over HTTP. Each request becomes an input
+// of the core and waits for its answer on a channel of its own.
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/julienschmidt/httprouter"
+	"golang.org/x/net/netutil"
+
+	"yewpass/internal/core"
+)
+
+// Call is a request on its way to the core: a core.UserCall or core.ReportIn
+// whose Ref the receiver sets. Exactly one answer is sent to Reply, which never
+// blocks.
+type Call struct {
+	Input any
+	Reply chan<- any
+}
+
+// Gone says that the caller of Reply has left.
+type Gone struct{ Reply chan<- any }
+
+const (
+	maxBody = 64 << 10
+	// A user's request is answered at once in the ordinary case; this bounds it
+	// when the core is behind.
+	userWait = 4500 * time.Millisecond
+	// Workers give up on a reply after 4 s.
+	reportWait = 3900 * time.Millisecond
+)
+
+// Server is the actor that serves client_listen.
+type Server struct {
+	inbox chan<- any
+	ready *atomic.Bool
+}
+
+// Serve serves on ln until it fails. At most maxConns connections are open at a
+// time.
+func Serve(ln net.Listener, maxConns int, inbox chan<- any, ready *atomic.Bool) error {
+	s := &Server{inbox, ready}
+	r := httprouter.New()
+	r.POST("/v2/runs", s.submit)
+	r.GET("/v2/runs/:id", s.get)
+	r.POST("/v2/runs/:id/cancel", s.cancel)
+	r.POST("/hello", s.hello)
+	r.GET("/ready", s.isReady)
+	r.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		metrics.WritePrometheus(w, true)
+	})
+	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fail(w, http.StatusNotFound, "", "no such resource", 0)
+	})
+	r.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fail(w, http.StatusMethodNotAllowed, "", "method not allowed", 0)
+	})
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	srv := &http.Server{
+		Handler: r, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10,
+	}
+	return srv.Serve(netutil.LimitListener(ln, maxConns))
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{"error":"internal"}`)
+	}
+	h := w.Header()
+	h["Content-Type"] = []string{"application/json"}
+	h["Content-Length"] = []string{strconv.Itoa(len(data))}
+	w.WriteHeader(status)
+	w.Write(data)
+}
+
+type errorJSON struct {
+	Error string `json:"error"`
+	Field string `json:"field,omitempty"`
+}
+
+func fail(w http.ResponseWriter, status int, field, reason string, retry time.Duration) {
+	if retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
+	}
+	write(w, status, errorJSON{reason, field})
+}
+
+func (s *Server) isReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if s.ready.Load() {
+		write(w, http.StatusOK, struct{}{})
+		return
+	}
+	fail(w, http.StatusServiceUnavailable, "", "not ready", time.Second)
+}
+
+// body reads a request's body into v; false if an answer has been sent.
+func body(w http.ResponseWriter, r *http.Request, v any) bool {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err != nil {
+		fail(w, http.StatusBadRequest, "", "the body cannot be read", 0)
+		return false
+	}
+	if len(data) > maxBody {
+		fail(w, http.StatusBadRequest, "", "the body is larger than 64 KiB", 0)
+		return false
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) && te.Field != "" {
+			fail(w, http.StatusBadRequest, te.Field, te.Field+": wrong type or out of range", 0)
+		} else if errors.As(err, &te) {
+			fail(w, http.StatusBadRequest, "", "the body is not a JSON object", 0)
+		} else {
+			fail(w, http.StatusBadRequest, "", "the body is not JSON", 0)
+		}
+		return false
+	}
+	return true
+}
+
+type viewJSON struct {
+	ID      string        `json:"id"`
+	Status  core.JobState `json:"status"`
+	Done    int           `json:"done"`
+	Running int           `json:"running"`
+}
+
+var (
+	userSeconds = metrics.NewHistogram(`yewpass_user_request_seconds`)
+	reports     = metrics.NewCounter(`yewpass_reports_total`)
+)
+
+func (s *Server) user(w http.ResponseWriter, r *http.Request, call core.UserCall) {
+	began := time.Now()
+	reply := make(chan any, 1)
+	s.inbox <- Call{call, reply}
+	t := time.NewTimer(userWait)
+	defer t.Stop()
+	defer userSeconds.UpdateDuration(began)
+	select {
+	case v := <-reply:
+		a := v.(core.AnswerUser)
+		if a.Status >= 400 {
+			fail(w, a.Status, a.Field, a.Reason, a.RetryAfter)
+			return
+		}
+		write(w, a.Status, viewJSON{call.ID, a.View.State, a.View.Done, a.View.Running})
+	case <-t.C:
+		fail(w, http.StatusServiceUnavailable, "", "the service is behind", time.Second)
+	case <-r.Context().Done():
+	}
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var j jobJSON
+	if !body(w, r, &j) {
+		return
+	}
+	spec, field, reason := j.spec()
+	if spec == nil {
+		fail(w, http.StatusBadRequest, field, field+": "+reason, 0)
+		return
+	}
+	s.user(w, r, core.UserCall{Op: core.OpSubmit, ID: spec.ID, Spec: spec})
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	s.known(w, r, core.OpGet, p.ByName("id"))
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	s.known(w, r, core.OpCancel, p.ByName("id"))
+}
+
+func (s *Server) known(w http.ResponseWriter, r *http.Request, op core.UserOp, id string) {
+	if !validID(id) {
+		fail(w, http.StatusNotFound, "id", "no such job", 0)
+		return
+	}
+	s.user(w, r, core.UserCall{Op: op, ID: id})
+}
--- /dev/null
+++ b/internal/cloud/client.go
@@ -0,0 +1,185 @@
+// Package cloud speaks the protocol of the cloud API.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"yewpass/internal/core"
+	"yewpass/internal/timeline"
+)
+
+// Client is the actor that calls the cloud; replies go to the core's inbox.
+type Client struct {
+	base  string
+	http  *http.Client
+	inbox chan<- any
+}
+
+// New returns a client of the cloud at addr that delivers to inbox.
+func New(addr string, inbox chan<- any) *Client {
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
+		}},
+		inbox: inbox,
+	}
+}
+
+// Do makes the call and delivers its reply.
+func (c *Client) Do(call core.CloudCall) {
+	go func() {
+		r := c.call(call)
+		r.Ref = call.Ref
+		c.inbox <- r
+	}()
+}
+
+type flavorJSON struct {
+	Name      string   `json:"name"`
+	VCPUs     float64  `json:"vcpus"`
+	GPUs      float64  `json:"gpus"`
+	MemGB     float64  `json:"memGb"`
+	LocalGB   float64  `json:"localGb"`
+	FetchGBps float64  `json:"fetchGbPerS"`
+	Rate      float64  `json:"rate"`
+	LowPrice  float64  `json:"lowPrice"`
+	ReadyS    float64  `json:"readyS"`
+	Halls     []string `json:"halls"`
+}
+
+type hostJSON struct {
+	ID          string  `json:"id"`
+	Flavor      string  `json:"flavor"`
+	Hall        string  `json:"hall"`
+	Reclaimable bool    `json:"reclaimable"`
+	Status      string  `json:"status"`
+	AgeS        float64 `json:"ageS"`
+}
+
+type rentJSON struct {
+	Rental      string `json:"rental"`
+	Flavor      string `json:"flavor"`
+	Hall        string `json:"hall"`
+	Reclaimable bool   `json:"reclaimable"`
+	HowMany     int    `json:"howMany"`
+}
+
+type hostsJSON struct {
+	Hosts []string `json:"hosts"`
+}
+
+const listLimit = "500"
+
+func (c *Client) call(call core.CloudCall) core.CloudReply {
+	var method, path string
+	var body any
+	switch call.Op {
+	case core.CloudCatalog:
+		method, path = http.MethodGet, "/catalog"
+	case core.CloudRent:
+		method, path = http.MethodPost, "/machines"
+		body = rentJSON{call.Rental, call.Flavor, call.Zone, call.Reclaimable, call.Count}
+	case core.CloudRelease:
+		method, path, body = http.MethodPost, "/machines/release", hostsJSON{call.Hosts}
+	case core.CloudList:
+		q := url.Values{"limit": {listLimit}}
+		if call.After != "" {
+			q.Set("from", call.After)
+		}
+		method, path = http.MethodGet, "/machines?"+q.Encode()
+	}
+	unknown := core.CloudReply{Outcome: core.Unknown}
+	ctx, cancel := context.WithTimeout(context.Background(), call.Within)
+	defer cancel()
+	var rd io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return unknown
+		}
+		rd = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return unknown
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return unknown
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return unknown
+	}
+	return decode(call, resp.StatusCode, data)
+}
+
+func decode(call core.CloudCall, status int, data []byte) core.CloudReply {
+	unknown := core.CloudReply{Outcome: core.Unknown}
+	switch status {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(data, &e) == nil && strings.Contains(e.Error, "capacity") {
+			return core.CloudReply{Outcome: core.Refused}
+		}
+		return unknown // an outage: the same request is sent again
+	case http.StatusBadRequest:
+		return core.CloudReply{Outcome: core.Invalid}
+	default:
+		return unknown
+	}
+	r := core.CloudReply{Outcome: core.OK}
+	switch call.Op {
+	case core.CloudCatalog:
+		var a struct {
+			Flavors []flavorJSON `json:"flavors"`
+		}
+		if json.Unmarshal(data, &a) != nil {
+			return unknown
+		}
+		for _, f := range a.Flavors {
+			if f.Name == "" || f.VCPUs <= 0 {
+				return unknown
+			}
+			r.Flavors = append(r.Flavors, core.Flavor{Name: f.Name, Capacity: timeline.Capacity(f.VCPUs, f.GPUs, f.MemGB),
+				CPUs: f.VCPUs, LocalGB: f.LocalGB, FetchGBps: f.FetchGBps, Rate: f.Rate, LowRate: f.LowPrice,
+				Ready: seconds(f.ReadyS), Zones: f.Halls})
+		}
+	case core.CloudRent:
+		var a hostsJSON
+		if json.Unmarshal(data, &a) != nil || len(a.Hosts) > call.Count {
+			return unknown
+		}
+		r.Hosts = a.Hosts
+	case core.CloudList:
+		var a struct {
+			Hosts     []hostJSON `json:"hosts"`
+			Truncated bool       `json:"truncated"`
+		}
+		if json.Unmarshal(data, &a) != nil {
+			return unknown
+		}
+		r.More = a.Truncated
+		for _, h := range a.Hosts {
+			r.Listed = append(r.Listed, core.Listed{Host: h.ID, Flavor: h.Flavor, Zone: h.Hall, Status: h.Status,
+				Reclaimable: h.Reclaimable, Age: seconds(h.AgeS)})
+		}
+	}
+	return r
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/core/bits.go
@@ -0,0 +1,126 @@
+package core
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"math/bits"
+	"strconv"
+	"strings"
+)
+
+// bitset is a set of task numbers.
+type bitset []uint64
+
+func newBitset(n int) bitset { return make(bitset, (n+63)/64) }
+
+func (b bitset) has(i int) bool { return b[i/64]&(1<<(i%64)) != 0 }
+func (b bitset) set(i int)      { b[i/64] |= 1 << (i % 64) }
+func (b bitset) clear(i int)    { b[i/64] &^= 1 << (i % 64) }
+
+// first returns the lowest member, or -1.
+func (b bitset) first() int {
+	for w, x := range b {
+		if x != 0 {
+			return w*64 + bits.TrailingZeros64(x)
+		}
+	}
+	return -1
+}
+
+func (b bitset) count() int {
+	n := 0
+	for _, x := range b {
+		n += bits.OnesCount64(x)
+	}
+	return n
+}
+
+// chunkTasks is how many tasks one progress record covers: its bitmap stays
+// far below any value limit, however scattered the finished tasks are.
+const chunkTasks = 16384
+
+// encodeChunk writes the members in [from, from+chunkTasks) relative to from:
+// as ranges "0-5,9" or as a bitmap "=base64", whichever is shorter.
+func (b bitset) encodeChunk(from int) string {
+	words := b[from/64 : min(len(b), (from+chunkTasks)/64)]
+	var sb strings.Builder
+	n := len(words) * 64
+	limit := base64.RawStdEncoding.EncodedLen(len(words)*8) + 1
+	for i := 0; i < n && sb.Len() <= limit; {
+		if words[i/64] == 0 {
+			i = (i/64 + 1) * 64
+			continue
+		}
+		if !words.has(i) {
+			i++
+			continue
+		}
+		j := i
+		for j+1 < n && words.has(j+1) {
+			j++
+		}
+		if sb.Len() > 0 {
+			sb.WriteByte(',')
+		}
+		sb.WriteString(strconv.Itoa(i))
+		if j > i {
+			sb.WriteByte('-')
+			sb.WriteString(strconv.Itoa(j))
+		}
+		i = j + 1
+	}
+	if sb.Len() <= limit {
+		return sb.String()
+	}
+	raw := make([]byte, 0, len(words)*8)
+	for _, w := range words {
+		raw = binary.LittleEndian.AppendUint64(raw, w)
+	}
+	return "=" + base64.RawStdEncoding.EncodeToString(raw)
+}
+
+// decodeChunk adds the members that encodeChunk wrote; false if s is malformed.
+func (b bitset) decodeChunk(from, tasks int, s string) bool {
+	add := func(i int) bool {
+		if i < 0 || i >= chunkTasks || from+i >= tasks {
+			return false
+		}
+		b.set(from + i)
+		return true
+	}
+	if s == "" {
+		return true
+	}
+	if s[0] == '=' {
+		raw, err := base64.RawStdEncoding.DecodeString(s[1:])
+		if err != nil || len(raw)%8 != 0 {
+			return false
+		}
+		for w := 0; w < len(raw)/8; w++ {
+			x := binary.LittleEndian.Uint64(raw[w*8:])
+			for ; x != 0; x &= x - 1 {
+				if !add(w*64 + bits.TrailingZeros64(x)) {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	for part := range strings.SplitSeq(s, ",") {
+		lo, hi, ranged := strings.Cut(part, "-")
+		i, err := strconv.Atoi(lo)
+		j := i
+		if err == nil && ranged {
+			j, err = strconv.Atoi(hi)
+		}
+		if err != nil || j < i {
+			return false
+		}
+		for ; i <= j; i++ {
+			if !add(i) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,214 @@
+package core
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"golang.org/x/time/rate"
+
+	"yewpass/internal/config"
+	"yewpass/internal/policy"
+)
+
+// Keys of the state service. Everything that a successor reads lies under
+// liveKeys; how jobs ended lies apart, so that a take-over never reads it.
+const (
+	rootKey     = "yewpass/"
+	leaderKey   = rootKey + "leader"
+	termKey     = rootKey + "term"
+	liveKeys    = rootKey + "live/"
+	jobKeys     = liveKeys + "job/"
+	machineKeys = liveKeys + "machine/"
+	doneKeys    = liveKeys + "progress/"
+	finalKeys   = rootKey + "final/"
+)
+
+// Times of the leader's grant. The protocol bounds the drift of steady clocks
+// at 0.05%; margins below take twice that.
+const (
+	grantTTL    = 3 * time.Second
+	renewEvery  = 600 * time.Millisecond
+	storeWithin = 1500 * time.Millisecond
+	driftPart   = 1000 // a thousandth
+	slack       = 200 * time.Millisecond
+)
+
+// withDrift returns d as a clock that runs up to 0.05% slower must measure it,
+// plus some slack, to be sure that d has passed on another machine.
+func withDrift(d time.Duration) time.Duration { return d + d/driftPart + slack }
+
+// Core is one controller.
+type Core struct {
+	cfg *config.Config
+	pol *policy.Policy
+	rng *rand.Rand
+	now time.Time
+	out []any
+
+	ref     uint64
+	stores  map[uint64]func(StoreReply)
+	clouds  map[uint64]func(CloudReply)
+	calls   map[uint64]*forwarded // users' requests at the leader's
+	wake    []alarm
+	lead    *leadership
+	hint    string // who leads, as far as we know
+	termMax uint64 // the highest term seen anywhere
+	links   map[string]bool
+	final   *lru.Cache[string, FinalRecord] // how recent jobs ended
+	reads   *rate.Limiter
+	stateUp bool
+
+	report, lease, cancelWithin, hold time.Duration
+}
+
+type alarm struct {
+	at time.Time
+	do func()
+}
+
+// New returns a controller that has not begun; give it a Tick to begin.
+func New(cfg *config.Config, pol *policy.Policy, seed uint64) *Core {
+	final, _ := lru.New[string, FinalRecord](4096) // errs only for a size below 1
+	c := &Core{
+		cfg: cfg, pol: pol, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){},
+		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, stateUp: true,
+		reads:        rate.NewLimiter(rate.Limit(cfg.Settings.State.RPS/2), max(1, int(cfg.Settings.State.RPS/2))),
+		report:       cfg.Settings.Workers.Report.Duration(),
+		lease:        cfg.Settings.Workers.Lease.Duration(),
+		cancelWithin: cfg.Settings.Workers.Cancel.Duration(),
+	}
+	// A leader without authority goes on answering reports for this long, so
+	// that tasks outlive an outage. It must end early enough that a task whose
+	// job was cancelled under a successor is gone in time: the successor's
+	// grant, then the hold, then the worker's lease.
+	c.hold = max(0, c.cancelWithin-withDrift(c.lease)-grantTTL-1500*time.Millisecond)
+	return c
+}
+
+// Step takes one input and returns what follows from it. The slice is valid
+// until the next call.
+func (c *Core) Step(now time.Time, in any) []any {
+	first := c.now.IsZero()
+	c.now = now
+	c.out = c.out[:0]
+	if first {
+		c.watch()
+	}
+	c.alarms()
+	switch in := in.(type) {
+	case Tick:
+	case UserCall:
+		c.userCall(in)
+	case ReportIn:
+		c.reportIn(in)
+	case ReportGone:
+		c.reportGone(in.Ref)
+	case StoreReply:
+		c.noteState(in.Outcome)
+		if f := c.stores[in.Ref]; f != nil {
+			delete(c.stores, in.Ref)
+			f(in)
+		}
+	case CloudReply:
+		if f := c.clouds[in.Ref]; f != nil {
+			delete(c.clouds, in.Ref)
+			f(in)
+		}
+	case PeerIn:
+		c.peerIn(in)
+	case PeerLink:
+		c.peerLink(in)
+	}
+	if c.lead != nil {
+		c.leadPump()
+	}
+	return c.out
+}
+
+// Wake returns when the core next wants a Tick.
+func (c *Core) Wake() time.Time {
+	at := c.now.Add(time.Second)
+	for _, a := range c.wake {
+		if a.at.Before(at) {
+			at = a.at
+		}
+	}
+	return at
+}
+
+// after has f called once d has passed.
+func (c *Core) after(d time.Duration, f func()) {
+	c.wake = append(c.wake, alarm{c.now.Add(d), f})
+}
+
+func (c *Core) alarms() {
+	for again := true; again; {
+		again = false
+		for i, a := range c.wake {
+			if !a.at.After(c.now) {
+				c.wake = append(c.wake[:i], c.wake[i+1:]...)
+				a.do()
+				again = true
+				break
+			}
+		}
+	}
+}
+
+func (c *Core) emit(o any) { c.out = append(c.out, o) }
+
+func (c *Core) note(level slog.Level, text string, attrs ...any) {
+	c.emit(Note{level, text, attrs})
+}
+
+func (c *Core) nextRef() uint64 {
+	c.ref++
+	return c.ref
+}
+
+func (c *Core) store(call StoreCall, f func(StoreReply)) {
+	call.Ref = c.nextRef()
+	if call.Within == 0 {
+		call.Within = storeWithin
+	}
+	c.stores[call.Ref] = f
+	c.emit(call)
+}
+
+func (c *Core) cloud(call CloudCall, f func(CloudReply)) {
+	call.Ref = c.nextRef()
+	call.Within = 4 * time.Second
+	c.clouds[call.Ref] = f
+	c.emit(call)
+}
+
+// jitter returns between half of d and d and a half.
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(c.rng.Int64N(int64(d)+1))
+}
+
+// noteState logs when the state service goes away and comes back.
+func (c *Core) noteState(o Outcome) {
+	up := o != Refused && o != Unknown
+	if up == c.stateUp {
+		return
+	}
+	c.stateUp = up
+	if up {
+		c.note(slog.LevelInfo, "state service answers again")
+	} else {
+		c.note(slog.LevelWarn, "state service does not serve us")
+	}
+}
+
+// Ready reports whether the node can take requests: it leads, or knows who
+// does, or can at least read the state service for its users.
+func (c *Core) Ready() bool {
+	if c.lead != nil {
+		return c.lead.loaded
+	}
+	return c.hint != "" && (c.links[c.hint] || c.stateUp)
+}
--- /dev/null
+++ b/internal/core/estimate.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"time"
+)
+
+// estimates corrects the owners' estimates by observed run times: by job once a
+// task of it has completed, by class and owner before.
+type estimates map[string]*observed
+
+type observed struct {
+	n    int
+	mean float64 // class: actual over estimate; job: seconds
+}
+
+func (o *observed) add(x float64) {
+	o.n++
+	w := max(1/float64(o.n), 0.08)
+	o.mean += w * (x - o.mean)
+}
+
+// observe takes in how long a task ran.
+func (c *Core) observe(j *job, m *machine, took time.Duration) {
+	if j.spec.Runtime <= 0 {
+		return
+	}
+	j.took.add(took.Seconds())
+	key := j.spec.Class + "/" + j.spec.Owner
+	o := c.lead.est[key]
+	if o == nil {
+		o = &observed{}
+		c.lead.est[key] = o
+	}
+	if j.took.n <= 8 { // a large array must not outweigh all other jobs
+		o.add(took.Seconds() / j.spec.Runtime.Seconds())
+	}
+}
+
+// estimate returns how long a task of the job runs, without its image.
+func (c *Core) estimate(j *job) time.Duration {
+	if j.spec.Service {
+		return 0
+	}
+	if j.took.n > 0 {
+		return time.Duration(j.took.mean * float64(time.Second))
+	}
+	return c.estimateSpec(&j.spec)
+}
+
+func (c *Core) estimateSpec(s *JobSpec) time.Duration {
+	d := s.Runtime
+	if o := c.lead.est[s.Class+"/"+s.Owner]; o != nil && o.n >= 5 {
+		d = time.Duration(float64(d) * min(max(o.mean, 0.3), 3))
+	}
+	return max(d, 100*time.Millisecond)
+}
+
+// fetch returns how long the machine needs to fetch the image.
+func fetch(s *JobSpec, f *Flavor) time.Duration {
+	if f == nil || f.FetchGBps <= 0 {
+		return 0
+	}
+	return time.Duration(s.ImageGB / f.FetchGBps * float64(time.Second))
+}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,331 @@
+package core
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"yewpass/internal/timeline"
+)
+
+// job is an accepted job that is not over.
+type job struct {
+	spec      JobSpec
+	need      timeline.Resources
+	submitted time.Time // on the core's clock
+	rec       *JobRecord
+	earlier   bool // accepted in an earlier term: its tasks may be anywhere
+	team      *team
+
+	done    bitset       // completed
+	pending bitset       // neither done nor on a machine
+	waiting int          // members of pending
+	left    int          // tasks not done
+	runs    map[int]*run // tasks on machines, or that may be
+
+	booked   int // members of pending that have a place in the queue
+	chunkRev map[int]uint64
+	dirty    map[int]bool // chunks with news not yet on their way
+	flushing bool
+
+	cancelling bool // a cancellation is on its way to the state service
+	cancelled  bool // and has been committed
+	closing    bool // the final record is on its way
+	cancels    []UserCall
+
+	errHosts map[string]bool // machines on which its tasks failed
+	failures int             // since a task last completed
+	retryAt  time.Time       // not before this, after failures
+	any      bool            // a task has completed
+	took     observed        // seconds that its tasks took
+	books    []*booking      // places in the queue
+}
+
+// addJob takes a job into memory.
+func (c *Core) addJob(rec *JobRecord, earlier bool) *job {
+	s := rec.Spec
+	j := &job{
+		spec: s, need: s.Need(), rec: rec, earlier: earlier, cancelled: rec.Cancelled,
+		submitted: c.now.Add(rec.Submitted.Sub(c.now.Round(0))),
+		done:      newBitset(s.Tasks), pending: newBitset(s.Tasks), left: s.Tasks,
+		runs: map[int]*run{}, chunkRev: map[int]uint64{}, dirty: map[int]bool{}, errHosts: map[string]bool{},
+		team: c.lead.teams[s.Owner],
+	}
+	if j.team == nil { // the team has left the settings: its jobs still run
+		j.team = &team{}
+		c.lead.teams[s.Owner] = j.team
+	}
+	c.lead.jobs[s.ID] = j
+	j.team.jobs++
+	return j
+}
+
+// jobLoaded makes a job's tasks wait for machines, once its progress is known.
+func (c *Core) jobLoaded(j *job) {
+	for i := range j.spec.Tasks {
+		if j.done.has(i) {
+			j.left--
+		} else if j.runs[i] == nil {
+			j.pending.set(i)
+			j.waiting++
+		}
+	}
+	if j.cancelled {
+		c.closeIfOver(j)
+		return
+	}
+	if j.left == 0 && !j.spec.Service {
+		c.closeIfOver(j)
+		return
+	}
+	c.book(j)
+	c.lead.dirty = true
+}
+
+// halted reports whether no task of the job may start any more.
+func (j *job) halted() bool { return j.cancelled || j.cancelling || j.closing }
+
+func (j *job) view() JobView {
+	v := JobView{ID: j.spec.ID, State: Queued, Done: j.spec.Tasks - j.left}
+	for _, r := range j.runs {
+		if r.phase == TaskRuns || r.phase == Saving {
+			v.Running++
+		}
+	}
+	switch {
+	case j.cancelled:
+		v.State = Cancelled
+	case v.Running > 0:
+		v.State = Running
+	}
+	return v
+}
+
+// taskDone marks a task complete. It is not written yet: progress goes in bulk.
+func (c *Core) taskDone(j *job, i int) {
+	if i >= j.spec.Tasks || j.spec.Service {
+		return
+	}
+	if j.done.has(i) {
+		c.flushSoon(j, i) // a worker still has it: write again, so that it may forget
+		return
+	}
+	if j.pending.has(i) {
+		j.pending.clear(i)
+		j.waiting--
+		c.unbookOne(j)
+	}
+	j.done.set(i)
+	j.left--
+	j.any = true
+	j.failures = 0
+	j.retryAt = time.Time{}
+	if j.left == 0 {
+		c.closeIfOver(j)
+		return
+	}
+	c.flushSoon(j, i)
+}
+
+// flushSoon has the progress around task i written. Progress of a second goes
+// in one write; the final record makes most of it needless.
+func (c *Core) flushSoon(j *job, i int) {
+	j.dirty[i/chunkTasks] = true
+	if !j.flushing {
+		j.flushing = true
+		c.whenLeading(time.Second, func() { c.flush(j) })
+	}
+}
+
+// requeue makes a task wait again.
+func (c *Core) requeue(j *job, i int) {
+	if j.halted() || i >= j.spec.Tasks || j.done.has(i) || j.pending.has(i) || j.runs[i] != nil {
+		return
+	}
+	j.pending.set(i)
+	j.waiting++
+	c.book(j)
+	c.lead.dirty = true
+}
+
+func chunkKey(id string, chunk int) string { return doneKeys + id + "/" + strconv.Itoa(chunk) }
+
+func splitChunkKey(s string) (string, int) {
+	id, num, _ := strings.Cut(s, "/")
+	n, err := strconv.Atoi(num)
+	if err != nil {
+		n = -1
+	}
+	return id, n
+}
+
+// flush writes the job's progress.
+func (c *Core) flush(j *job) {
+	j.flushing = false
+	if j.halted() || j.left == 0 {
+		return
+	}
+	for _, chunk := range slices.Sorted(maps.Keys(j.dirty)) {
+		c.flushChunk(j, chunk)
+	}
+	clear(j.dirty)
+}
+
+func (c *Core) flushChunk(j *job, chunk int) {
+	key := chunkKey(j.spec.ID, chunk)
+	text := j.done.encodeChunk(chunk * chunkTasks)
+	had := j.done.clone(chunk)
+	c.lead.pipe.add(&change{
+		bulk: true, size: 200 + len(text),
+		when:   []Cond{{key, j.chunkRev[chunk]}},
+		writes: []Write{{Key: key, Value: &ProgressRecord{text}}},
+		done: func(rev uint64) {
+			j.chunkRev[chunk] = rev
+			c.progressSaved(j, chunk, had)
+		},
+		failed: func() {
+			// A write of ours whose outcome was not known has been applied.
+			c.leaderStore(StoreCall{Op: StoreGet, Key: key}, func(r StoreReply) {
+				switch r.Outcome {
+				case OK:
+					j.chunkRev[chunk] = r.Entries[0].Rev
+				case Missing:
+					j.chunkRev[chunk] = 0
+				}
+				if c.lead.jobs[j.spec.ID] == j && !j.halted() {
+					c.flushChunk(j, chunk)
+				}
+			})
+		},
+	})
+}
+
+// clone copies one chunk's members.
+func (b bitset) clone(chunk int) bitset {
+	from := chunk * chunkTasks / 64
+	return append(bitset(nil), b[from:min(len(b), from+chunkTasks/64)]...)
+}
+
+// progressSaved lets workers forget the tasks that the state service now knows
+// to be done. Until then their reports repeat it to any successor.
+func (c *Core) progressSaved(j *job, chunk int, saved bitset) {
+	for _, m := range c.lead.machines {
+		for _, r := range m.runs {
+			if r.job == j && r.phase == Exited && !r.saved && r.id.Index/chunkTasks == chunk && saved.has(r.id.Index%chunkTasks) {
+				r.saved = true
+				c.lead.dirty = true
+			}
+		}
+	}
+}
+
+// closeIfOver writes the final record of a job that is over. A cancelled job
+// stays on record until none of its tasks can be on any machine, because its
+// tasks still count for its team.
+func (c *Core) closeIfOver(j *job) {
+	l := c.lead
+	if j.closing || j.cancelling {
+		return
+	}
+	final := FinalRecord{Done, j.spec.Tasks}
+	switch {
+	case j.cancelled:
+		if len(j.runs) > 0 || (j.earlier && !l.settled()) {
+			return
+		}
+		final = FinalRecord{Cancelled, j.spec.Tasks - j.left}
+	case j.spec.Service || j.left > 0:
+		return
+	}
+	j.closing = true
+	ch := &change{
+		writes: []Write{{Key: finalKeys + j.spec.ID, Value: &final}, {Key: jobKeys + j.spec.ID}},
+		done:   func(uint64) { c.closed(j, final) },
+	}
+	drops := make([]*change, 0, 1)
+	for _, chunk := range slices.Sorted(maps.Keys(j.chunkRev)) {
+		if j.chunkRev[chunk] == 0 {
+			continue
+		}
+		w := Write{Key: chunkKey(j.spec.ID, chunk)}
+		if len(ch.writes) < c.cfg.Settings.State.TxnOps {
+			ch.writes = append(ch.writes, w)
+		} else {
+			drops = append(drops, &change{writes: []Write{w}, bulk: true})
+		}
+	}
+	l.pipe.add(ch)
+	for _, d := range drops {
+		l.pipe.add(d)
+	}
+}
+
+// closed follows the commit of a final record.
+func (c *Core) closed(j *job, f FinalRecord) {
+	l := c.lead
+	c.final.Add(j.spec.ID, f)
+	delete(l.jobs, j.spec.ID)
+	j.team.jobs--
+	c.unbook(j)
+	for _, m := range l.machines {
+		for _, r := range m.runs {
+			if r.job == j {
+				r.saved = true
+			}
+		}
+	}
+	j.answerCancels(c, AnswerUser{Status: 200, View: f.view(j.spec.ID)})
+	l.dirty = true
+	c.note(slog.LevelDebug, "job over", "job", j.spec.ID, "state", f.State)
+}
+
+func (f FinalRecord) view(id string) JobView { return JobView{ID: id, State: f.State, Done: f.Done} }
+
+func (j *job) answerCancels(c *Core, a AnswerUser) {
+	for _, call := range j.cancels {
+		c.answer(call, a)
+	}
+	j.cancels = nil
+}
+
+// cancel records a cancellation and answers once it is committed.
+func (c *Core) cancel(j *job, call UserCall) {
+	if j.cancelled {
+		c.answer(call, AnswerUser{Status: 200, View: j.view()})
+		return
+	}
+	j.cancels = append(j.cancels, call)
+	if j.cancelling || j.closing {
+		return
+	}
+	j.cancelling = true
+	rec := *j.rec
+	rec.Cancelled = true
+	c.lead.pipe.add(&change{
+		size:   recordSize(&rec.Spec),
+		writes: []Write{{Key: jobKeys + j.spec.ID, Value: &rec}},
+		done: func(uint64) {
+			j.cancelling, j.cancelled, j.rec = false, true, &rec
+			c.unbook(j)
+			for _, r := range j.runs {
+				r.m.dirty = true
+			}
+			c.note(slog.LevelDebug, "job cancelled", "job", j.spec.ID)
+			j.answerCancels(c, AnswerUser{Status: 200, View: j.view()})
+			c.closeIfOver(j)
+			c.lead.dirty = true
+		},
+	})
+}
+
+// recordSize estimates the bytes of a job's record, with room to spare.
+func recordSize(s *JobSpec) int {
+	n := 700 + 6*(len(s.Class)+len(s.Owner)+len(s.Image)+len(s.Zone))
+	for _, f := range s.Flavors {
+		n += 6*len(f) + 4
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/leader.go
@@ -0,0 +1,396 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// leadership is everything that only a leader has. Stepping down drops it whole.
+type leadership struct {
+	term    uint64
+	termRev uint64 // every write is conditional on it: a late one fails under a successor
+	grant   uint64
+	until   time.Time // authority ends here unless a renewal succeeds
+	since   time.Time // elected
+	acked   map[string]bool
+	ackedAt time.Time // when the last peer had taken note of our term
+	held    bool      // out of authority, answering reports only
+	loaded  bool      // the records have been read
+
+	waiting []ReportIn // reports that came while loading
+
+	pipe   pipeline
+	jobs   map[string]*job
+	accept map[string]*accepting
+	teams  map[string]*team
+	queue  waitQueue
+	est    estimates
+
+	machines map[string]*machine
+	fleet    []*machine      // the same, by name
+	gone     map[string]bool // released, proven gone: their late reports count for nothing
+	owed     map[string]bool // recorded machines that may hold an earlier term's tasks
+	rent     renting
+	dirty    bool // something may be startable
+	tries    uint64
+
+	holdIdle, holdBusy time.Duration
+	margin             float64
+}
+
+func (c *Core) leads() bool { return c.lead != nil && c.now.Before(c.lead.until) }
+
+// acts reports whether we lead, in authority, and know the records.
+func (c *Core) acts() bool { return c.leads() && c.lead.loaded }
+
+// watch reads who leads, follows the key, and stands for election when nobody
+// does.
+func (c *Core) watch() {
+	if c.lead != nil {
+		return
+	}
+	c.store(StoreCall{Op: StoreGet, Key: leaderKey}, func(r StoreReply) {
+		if c.lead != nil {
+			return
+		}
+		switch r.Outcome {
+		case OK:
+			rec, _ := r.Entries[0].Value.(*LeaderRecord)
+			if rec == nil {
+				c.after(c.jitter(time.Second), c.watch)
+				return
+			}
+			c.heard(rec.Node, rec.Term)
+			c.store(StoreCall{Op: StoreFollow, Key: leaderKey, FromRev: r.Entries[0].Rev, Wait: 20 * time.Second, Within: 25 * time.Second}, func(r StoreReply) {
+				if r.Outcome == OK || r.Outcome == Missing {
+					c.watch()
+				} else {
+					c.after(c.jitter(400*time.Millisecond), c.watch)
+				}
+			})
+		case Missing:
+			// A small random delay keeps the nodes from all standing at once.
+			c.after(c.jitter(40*time.Millisecond), c.stand)
+		default:
+			c.after(c.jitter(400*time.Millisecond), c.watch)
+		}
+	})
+}
+
+// heard takes note of a leader.
+func (c *Core) heard(node string, term uint64) {
+	if term < c.termMax {
+		return
+	}
+	if term > c.termMax || c.hint != node {
+		c.note(slog.LevelInfo, "leader known", "leader", node, "term", term)
+	}
+	c.termMax = term
+	if node == c.cfg.HostName {
+		node = "" // our own earlier life: its key lasts until its grant ends
+	}
+	c.hint = node
+}
+
+// stand stands for election: one transaction takes the leader's key under a
+// short grant and raises the term.
+func (c *Core) stand() {
+	if c.lead != nil {
+		return
+	}
+	retry := func() { c.after(c.jitter(200*time.Millisecond), c.watch) }
+	sent := c.now // authority counts from before the grant was asked for
+	c.store(StoreCall{Op: StoreGrant, TTL: grantTTL}, func(g StoreReply) {
+		if g.Outcome != OK {
+			retry()
+			return
+		}
+		drop := func() {
+			// Ends the grant at once: should the transaction have been applied
+			// all the same, its key goes with it.
+			c.store(StoreCall{Op: StoreDropGrant, Grant: g.Grant}, func(StoreReply) {})
+			retry()
+		}
+		c.store(StoreCall{Op: StoreGet, Key: termKey}, func(t StoreReply) {
+			var term, rev uint64
+			switch {
+			case t.Outcome == OK:
+				rec, _ := t.Entries[0].Value.(*TermRecord)
+				if rec == nil {
+					drop()
+					return
+				}
+				term, rev = rec.Term, t.Entries[0].Rev
+			case t.Outcome != Missing:
+				drop()
+				return
+			}
+			term++
+			c.store(StoreCall{Op: StoreTxn,
+				When: []Cond{{leaderKey, 0}, {termKey, rev}},
+				Then: []Write{{leaderKey, &LeaderRecord{c.cfg.HostName, term}, g.Grant}, {termKey, &TermRecord{term}, 0}},
+			}, func(r StoreReply) {
+				if r.Outcome != OK || term < c.termMax {
+					drop()
+					return
+				}
+				c.begin(term, r.Rev, g.Grant, sent)
+			})
+		})
+	})
+}
+
+func authorityFrom(sent time.Time) time.Time {
+	return sent.Add(grantTTL - grantTTL/driftPart - slack/2)
+}
+
+// begin begins a term.
+func (c *Core) begin(term, rev, grant uint64, sent time.Time) {
+	st := c.cfg.Settings.State
+	c.termMax, c.hint = term, ""
+	c.lead = &leadership{
+		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now,
+		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
+		teams: map[string]*team{}, est: estimates{}, machines: map[string]*machine{},
+		gone: map[string]bool{}, owed: map[string]bool{},
+		pipe: pipeline{
+			writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.9), max(st.TxnOps, int(st.WriteRPS*0.8))),
+			reqs:   rate.NewLimiter(rate.Limit(st.RPS*0.6), max(1, int(st.RPS*0.5))),
+			busy:   map[string]bool{},
+		},
+		rent: newRenting(c.cfg),
+	}
+	for _, t := range c.cfg.Settings.Teams {
+		c.lead.teams[t.Name] = newTeam(t)
+	}
+	c.note(slog.LevelInfo, "leadership won", "term", term)
+	c.announce()
+	if len(c.cfg.Seeds) == 0 {
+		c.lead.ackedAt = c.now
+	}
+	c.renew()
+	c.load("")
+	c.fetchCatalog()
+}
+
+// whenLeading runs f after d if this very leadership still holds.
+func (c *Core) whenLeading(d time.Duration, f func()) {
+	l := c.lead
+	c.after(d, func() {
+		if c.lead == l {
+			f()
+		}
+	})
+}
+
+// leaderStore makes a call whose answer only this leadership wants.
+func (c *Core) leaderStore(call StoreCall, f func(StoreReply)) {
+	l := c.lead
+	c.store(call, func(r StoreReply) {
+		if c.lead == l {
+			f(r)
+		}
+	})
+}
+
+func (c *Core) announce() {
+	for _, p := range c.cfg.Seeds {
+		if !c.lead.acked[p.HostName] {
+			c.emit(PeerSend{p.HostName, PeerMsg{Kind: PeerLeader, Term: c.lead.term}})
+		}
+	}
+}
+
+// renew keeps the grant. Authority counts from when the request was sent. While
+// the state service is away the leader keeps trying: its grant has its full
+// time again after an outage, and the same term then goes on.
+func (c *Core) renew() {
+	l := c.lead
+	sent := c.now
+	c.leaderStore(StoreCall{Op: StoreExtend, Grant: l.grant, TTL: grantTTL, Within: grantTTL / 2}, func(r StoreReply) {
+		switch r.Outcome {
+		case OK:
+			if u := authorityFrom(sent); u.After(l.until) {
+				l.until = u
+			}
+			if l.held && c.leads() {
+				l.held = false
+				l.dirty = true
+				c.note(slog.LevelInfo, "authority regained", "term", l.term)
+			}
+			c.whenLeading(max(0, renewEvery-c.now.Sub(sent)), c.renew)
+		case Missing, Invalid:
+			c.stepDown("the grant has ended")
+		default:
+			c.whenLeading(c.jitter(renewEvery/3), c.renew)
+		}
+	})
+}
+
+// stepDown ends the leadership: nothing of it is used again.
+func (c *Core) stepDown(why string) {
+	l := c.lead
+	if l == nil {
+		return
+	}
+	c.note(slog.LevelWarn, "leadership lost", "term", l.term, "reason", why)
+	c.lead = nil
+	for _, m := range l.machines {
+		if m.held != nil {
+			c.emit(AnswerReport{Ref: m.held.ref, Status: 421, Upstream: c.hint})
+		}
+	}
+	for _, r := range l.waiting {
+		c.emit(AnswerReport{Ref: r.Ref, Status: 421, Upstream: c.hint})
+	}
+	for _, a := range l.accept {
+		a.answerAll(c, unavailable("leadership was lost, try again"))
+	}
+	for _, j := range l.jobs {
+		j.answerCancels(c, unavailable("leadership was lost, try again"))
+	}
+	c.after(c.jitter(100*time.Millisecond), c.watch)
+}
+
+// load reads the records of the earlier terms, page by page.
+func (c *Core) load(from string) {
+	c.leaderStore(StoreCall{Op: StoreList, Key: liveKeys, From: from, Limit: 400}, func(r StoreReply) {
+		if r.Outcome != OK {
+			c.whenLeading(c.jitter(200*time.Millisecond), func() { c.load(from) })
+			return
+		}
+		for _, e := range r.Entries {
+			c.loadEntry(e)
+		}
+		if r.More && len(r.Entries) > 0 {
+			c.load(r.Entries[len(r.Entries)-1].Key)
+			return
+		}
+		c.loadedAll()
+	})
+}
+
+func (c *Core) loadEntry(e Entry) {
+	l := c.lead
+	switch v := e.Value.(type) {
+	case *JobRecord:
+		if l.jobs[v.Spec.ID] == nil {
+			c.addJob(v, true)
+		}
+	case *MachineRecord:
+		host := e.Key[len(machineKeys):]
+		l.owed[host] = true
+		m := c.machine(host, v.Flavor, v.Zone, v.Reclaimable)
+		m.record = recorded
+	case *ProgressRecord:
+		// Progress comes after jobs in key order, so the job is known by now.
+		id, chunk := splitChunkKey(e.Key[len(doneKeys):])
+		j := l.jobs[id]
+		if j == nil {
+			// Left over by a job that is over.
+			l.pipe.add(&change{writes: []Write{{Key: e.Key}}, bulk: true})
+			return
+		}
+		if chunk < 0 || chunk*chunkTasks >= j.spec.Tasks || !j.done.decodeChunk(chunk*chunkTasks, j.spec.Tasks, v.Ranges) {
+			c.note(slog.LevelError, "progress record is malformed, its tasks run again", "key", e.Key)
+		}
+		j.chunkRev[chunk] = e.Rev
+	case nil:
+		c.note(slog.LevelError, "record is unreadable", "key", e.Key)
+	}
+}
+
+// loadedAll begins the work of the term.
+func (c *Core) loadedAll() {
+	l := c.lead
+	l.loaded = true
+	for _, j := range l.jobs {
+		c.jobLoaded(j)
+	}
+	c.note(slog.LevelInfo, "records read", "term", l.term, "jobs", len(l.jobs), "machines", len(l.owed))
+	waiting := l.waiting
+	l.waiting = nil
+	for _, r := range waiting {
+		c.reportIn(r)
+	}
+	c.listMachines("", nil)
+	c.tickLead()
+}
+
+// tickLead does the leader's regular work twice a second.
+func (c *Core) tickLead() {
+	c.housekeep()
+	c.whenLeading(500*time.Millisecond, c.tickLead)
+}
+
+// leadPump runs after each input while we lead.
+func (c *Core) leadPump() {
+	l := c.lead
+	if !c.now.Before(l.until) {
+		if !l.held {
+			l.held = true
+			c.note(slog.LevelWarn, "authority lapsed, holding the workers", "term", l.term, "hold", c.hold)
+			// Whoever waits for a write hears at once that it is not known.
+			for _, a := range l.accept {
+				a.answerAll(c, unavailable("the state service does not answer"))
+			}
+			for _, j := range l.jobs {
+				j.answerCancels(c, unavailable("the state service does not answer"))
+			}
+			c.releaseHeld()
+		}
+		return
+	}
+	if !l.loaded {
+		return
+	}
+	c.pumpStore()
+	if l.dirty {
+		l.dirty = false
+		c.dispatchHeld()
+		c.pumpStore()
+	}
+}
+
+// settled reports whether every machine that may hold a task of an earlier term
+// is accounted for.
+func (l *leadership) settled() bool { return len(l.owed) == 0 }
+
+func (c *Core) peerLink(p PeerLink) {
+	c.links[p.Name] = p.Up
+	if c.lead != nil && p.Up && !c.lead.acked[p.Name] {
+		c.emit(PeerSend{p.Name, PeerMsg{Kind: PeerLeader, Term: c.lead.term}})
+	}
+	if !p.Up {
+		c.linkLost(p.Name)
+	}
+}
+
+func (c *Core) peerIn(p PeerIn) {
+	switch p.Msg.Kind {
+	case PeerLeader:
+		if p.Msg.Term < c.termMax {
+			return
+		}
+		if c.lead != nil && p.Msg.Term > c.lead.term {
+			c.stepDown("a newer term is known")
+		}
+		c.heard(p.From, p.Msg.Term)
+		c.emit(PeerSend{p.From, PeerMsg{Kind: PeerAck, Term: p.Msg.Term}})
+	case PeerAck:
+		l := c.lead
+		if l == nil || p.Msg.Term != l.term || l.acked[p.From] {
+			return
+		}
+		l.acked[p.From] = true
+		if len(l.acked) == len(c.cfg.Seeds) {
+			l.ackedAt = c.now
+		}
+	case PeerCall:
+		c.userCall(UserCall{Ref: p.Msg.Ref, From: p.From, Op: p.Msg.Op, ID: p.Msg.ID, Spec: p.Msg.Spec})
+	case PeerAnswer:
+		c.peerAnswer(p.From, p.Msg)
+	}
+}
--- /dev/null
+++ b/internal/core/machines.go
@@ -0,0 +1,576 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"sort"
+	"time"
+
+	"yewpass/internal/timeline"
+)
+
+// run is one attempt of a task on a machine: from the order to start it until
+// the worker has forgotten it.
+type run struct {
+	id      TaskID
+	try     uint64
+	m       *machine
+	job     *job // nil: of no job that we know
+	need    timeline.Resources
+	phase   Phase
+	holds   bool   // counts against machine, team and job
+	order   uint64 // the counter of the report whose reply carried the start
+	ordered time.Time
+	began   time.Time // first reported as running
+	slot    *timeline.Booking
+	saved   bool // exited, and the worker may forget it
+	stop    bool // to be stopped
+	drain   time.Duration
+	stopped time.Time // when the stop first went out
+}
+
+type recordState int
+
+const (
+	unrecorded recordState = iota
+	recording
+	recorded
+)
+
+// heldReport is a report whose reply waits for something to say.
+type heldReport struct{ ref uint64 }
+
+// machine is a rented machine.
+type machine struct {
+	host, flavorName, zone string
+	flavor                 *Flavor // nil while the catalog is unknown
+	reclaimable            bool
+	record                 recordState // a successor must know of it before it may hold tasks
+
+	reported        bool // in this term
+	tenure, counter uint64
+	epoch           uint64
+	dead            uint64    // its lease under tenures up to this one is surely over
+	seen            time.Time // last report
+	answered        time.Time // last answered report
+	since           time.Time // known to us
+	rentedAt        time.Time
+	readyAt         time.Time // expected, while it boots
+	held            *heldReport
+	dirty           bool // has orders waiting
+
+	tl     *timeline.Timeline
+	runs   []*run
+	used   timeline.Resources
+	images map[string]bool
+	idle   time.Time // since when nothing runs or is booked
+
+	releasing bool
+	condemned bool
+	lost      bool      // its lease is over and it has not reported since
+	leaving   time.Time // the cloud takes it away
+	retryAt   time.Time // after a refused start
+	strikes   int
+	suspect   bool // its last task failed: one task at a time until one completes
+}
+
+// machine returns the machine named host, made known if need be.
+func (c *Core) machine(host, flavor, zone string, reclaimable bool) *machine {
+	l := c.lead
+	m := l.machines[host]
+	if m == nil {
+		m = &machine{host: host, flavorName: flavor, zone: zone, reclaimable: reclaimable,
+			since: c.now, rentedAt: c.now, idle: c.now, images: map[string]bool{}, tl: timeline.New(timeline.Resources{})}
+		l.machines[host] = m
+		i := sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].host >= host })
+		l.fleet = slices.Insert(l.fleet, i, m)
+		c.setFlavor(m)
+	}
+	return m
+}
+
+func (c *Core) setFlavor(m *machine) {
+	if f := c.lead.rent.flavor(m.flavorName); f != nil && m.flavor == nil {
+		m.flavor = f
+		tl := timeline.New(f.Capacity)
+		for _, r := range m.runs {
+			if r.slot != nil {
+				tl.Add(r.slot)
+			}
+		}
+		m.tl = tl
+	}
+}
+
+// up reports whether the machine reports at present.
+func (m *machine) up() bool { return m.reported && !m.releasing }
+
+// usable reports whether new tasks may be booked on the machine.
+func (m *machine) usable() bool {
+	return m.flavor != nil && !m.releasing && !m.condemned && !m.lost && m.leaving.IsZero()
+}
+
+func (m *machine) room() timeline.Resources {
+	return m.tl.Capacity().Add(m.used, -1)
+}
+
+func (m *machine) find(id TaskID, try uint64) *run {
+	for _, r := range m.runs {
+		if r.try == try && r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (c *Core) reportIn(in ReportIn) {
+	l := c.lead
+	rep := &in.Report
+	if l != nil && rep.Epoch > l.term {
+		c.stepDown("a worker has seen a newer epoch")
+		l = nil
+	}
+	switch {
+	case l == nil:
+		c.emit(AnswerReport{Ref: in.Ref, Status: 421, Upstream: c.hint})
+		return
+	case !c.leads() && c.now.After(l.until.Add(c.hold)):
+		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		return
+	case l.gone[rep.Host]:
+		// Released and proven gone: whatever arrives now was sent before.
+		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		return
+	case !l.loaded:
+		l.waiting = append(l.waiting, in)
+		return
+	}
+	m := c.machine(rep.Host, rep.Flavor, rep.Zone, rep.Reclaimable)
+	if m.reported && (rep.Tenure < m.tenure || rep.Tenure == m.tenure && rep.Counter <= m.counter) || rep.Tenure <= m.dead {
+		// Delayed on the way: its task list is older than what we know.
+		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		return
+	}
+	if m.held != nil {
+		// The worker has given up on it; this is its next report.
+		c.emit(AnswerReport{Ref: m.held.ref, Status: 503})
+		m.held = nil
+	}
+	c.learn(m, rep)
+	if m.record == unrecorded && c.leads() && !m.releasing {
+		c.recordMachine(m)
+	}
+	m.held = &heldReport{in.Ref}
+	c.reply(m, false)
+}
+
+// learn takes in what a report says.
+func (c *Core) learn(m *machine, rep *Report) {
+	l := c.lead
+	if !m.reported {
+		c.note(slog.LevelDebug, "machine reports", "machine", m.host, "type", rep.Flavor, "zone", rep.Zone, "tasks", len(rep.Tasks))
+		m.idle = c.now
+		l.dirty = true
+	}
+	if m.reported && rep.Tenure > m.tenure {
+		// Its lease ran out: the worker has killed all that it had.
+		for _, r := range slices.Clone(m.runs) {
+			c.dropRun(r)
+		}
+	}
+	m.reported, m.tenure, m.counter, m.epoch = true, rep.Tenure, rep.Counter, rep.Epoch
+	m.seen, m.lost = c.now, false
+	if rep.HasNotice {
+		if m.leaving.IsZero() {
+			c.note(slog.LevelInfo, "machine will be taken", "machine", m.host, "notice", rep.Notice)
+		}
+		m.leaving = c.now.Add(rep.Notice)
+	}
+	listed := make(map[*run]bool, len(rep.Tasks))
+	for i := range rep.Tasks {
+		t := &rep.Tasks[i]
+		r := m.find(t.Task, t.Try)
+		if r == nil {
+			r = c.foundRun(m, t)
+		}
+		listed[r] = true
+		c.update(r, t)
+	}
+	for _, r := range slices.Clone(m.runs) {
+		// A start that went out with the reply to an earlier report and is not
+		// listed now was never executed, and never will be: the worker takes
+		// replies in turn and drops late ones.
+		if !listed[r] && rep.Counter > r.order {
+			c.dropRun(r)
+		}
+	}
+	if rep.Epoch == l.term && l.owed[m.host] {
+		c.accounted(m.host)
+	}
+	c.stretch(m)
+}
+
+// accounted: nothing of an earlier term can be on the machine unknown to us.
+func (c *Core) accounted(host string) {
+	l := c.lead
+	if !l.owed[host] {
+		return
+	}
+	delete(l.owed, host)
+	if l.settled() {
+		c.note(slog.LevelInfo, "take-over complete", "term", l.term, "after", c.now.Sub(l.since))
+		for _, j := range l.sortedJobs() {
+			if j.cancelled {
+				c.closeIfOver(j)
+			}
+		}
+	}
+	l.dirty = true
+}
+
+func (l *leadership) sortedJobs() []*job {
+	js := make([]*job, 0, len(l.jobs))
+	for _, j := range l.jobs {
+		js = append(js, j)
+	}
+	slices.SortFunc(js, func(a, b *job) int {
+		if x := a.submitted.Compare(b.submitted); x != 0 {
+			return x
+		}
+		if a.spec.ID < b.spec.ID {
+			return -1
+		}
+		return 1
+	})
+	return js
+}
+
+// foundRun makes a task known that a worker lists and we did not start: of an
+// earlier term, or of a job that is over.
+func (c *Core) foundRun(m *machine, t *TaskReport) *run {
+	r := &run{id: t.Task, try: t.Try, m: m, phase: orderedFor, ordered: c.now, order: 0}
+	m.runs = append(m.runs, r)
+	j := c.lead.jobs[t.Task.Job]
+	if j != nil && t.Task.Index >= j.spec.Tasks {
+		j = nil
+	}
+	if t.Phase == Exited {
+		r.job = j
+		return r
+	}
+	if j == nil || j.done.has(t.Task.Index) || j.runs[t.Task.Index] != nil {
+		// Nobody waits for it: stop it.
+		r.stop = true
+		if j != nil {
+			c.note(slog.LevelWarn, "task is listed twice or done, stopping it", "task", t.Task, "machine", m.host)
+		}
+		return r
+	}
+	c.occupy(r, j)
+	return r
+}
+
+// occupy counts a run against its machine, team and job.
+func (c *Core) occupy(r *run, j *job) {
+	i := r.id.Index
+	r.job, r.need, r.holds = j, j.need, true
+	j.runs[i] = r
+	if j.pending.has(i) {
+		j.pending.clear(i)
+		j.waiting--
+		c.unbookOne(j)
+	}
+	r.m.used = r.m.used.Add(j.need, 1)
+	j.team.used = j.team.used.Add(j.need, 1)
+	r.slot = &timeline.Booking{Start: c.now, End: c.now.Add(c.length(j, r.m)), Need: j.need, Count: 1}
+	r.m.tl.Add(r.slot)
+}
+
+// vacate is the reverse of hold_: the task is surely not on the machine.
+func (c *Core) vacate(r *run) {
+	if r.slot != nil {
+		r.m.tl.Remove(r.slot)
+		r.slot = nil
+	}
+	if !r.holds {
+		return
+	}
+	r.holds = false
+	j := r.job
+	r.m.used = r.m.used.Add(r.need, -1)
+	j.team.used = j.team.used.Add(r.need, -1)
+	if j.runs[r.id.Index] == r {
+		delete(j.runs, r.id.Index)
+	}
+	if r.m.used == (timeline.Resources{}) {
+		r.m.idle = c.now
+	}
+	c.lead.dirty = true
+}
+
+// dropRun forgets a run that is surely gone and makes its task wait again.
+func (c *Core) dropRun(r *run) {
+	m := r.m
+	if i := slices.Index(m.runs, r); i >= 0 {
+		m.runs = slices.Delete(m.runs, i, i+1)
+	}
+	held := r.holds
+	c.vacate(r)
+	if held {
+		c.requeue(r.job, r.id.Index)
+		if r.job.cancelled {
+			c.closeIfOver(r.job)
+		}
+	}
+}
+
+// update takes in the state of one task.
+func (c *Core) update(r *run, t *TaskReport) {
+	if r.phase == Exited {
+		return
+	}
+	m, j := r.m, r.job
+	if t.Phase != Exited {
+		if t.Phase == TaskRuns && r.phase != TaskRuns {
+			r.began = c.now
+			if j != nil {
+				m.images[j.spec.Image] = true
+				if r.slot != nil {
+					r.slot.End = c.now.Add(c.length(j, m))
+					m.tl.Touch()
+				}
+			}
+		}
+		r.phase = t.Phase
+		return
+	}
+	was := r.phase
+	r.phase = Exited
+	held := r.holds
+	c.vacate(r)
+	i := r.id.Index
+	if t.Cause == CauseDone {
+		m.strikes, m.suspect = 0, false
+		r.saved = j == nil || j.closing || c.lead.jobs[r.id.Job] != j
+		if j != nil && !r.saved && !j.halted() {
+			if was == TaskRuns && !r.began.IsZero() {
+				c.observe(j, m, c.now.Sub(r.began))
+			}
+			c.taskDone(j, i)
+			return
+		}
+		if j != nil && held && j.cancelled {
+			r.saved = true
+			c.closeIfOver(j)
+		}
+		return
+	}
+	r.saved = true
+	if j == nil {
+		return
+	}
+	switch t.Cause {
+	case CauseError:
+		c.blame(j, m)
+	case CauseNoRoom:
+		// The worker sees less room than we do; ask again a little later.
+		m.retryAt = c.now.Add(time.Second)
+	case CauseNoSuch:
+		j.retryAt = c.now.Add(2 * time.Second)
+	}
+	if j.cancelled {
+		c.closeIfOver(j)
+	} else if held {
+		c.requeue(j, i)
+	}
+}
+
+// stretch moves the end of runs that take longer than booked.
+func (c *Core) stretch(m *machine) {
+	for _, r := range m.runs {
+		if r.slot != nil && !r.slot.End.After(c.now) {
+			r.slot.End = c.now.Add(max(c.length(r.job, m)/8, time.Second))
+			m.tl.Touch()
+		}
+	}
+}
+
+// recordMachine writes that the machine may hold tasks. Only then do tasks
+// start on it, so a successor that reads the records knows where to look.
+func (c *Core) recordMachine(m *machine) {
+	m.record = recording
+	c.lead.pipe.add(&change{
+		writes: []Write{{Key: machineKeys + m.host, Value: &MachineRecord{m.flavorName, m.zone, m.reclaimable}}},
+		done: func(uint64) {
+			m.record = recorded
+			c.lead.dirty = true
+		},
+	})
+}
+
+// orders collects what the machine has to do, other than to start tasks.
+func (c *Core) orders(m *machine) []Order {
+	var os []Order
+	for _, r := range m.runs {
+		if r.phase == Exited {
+			if r.saved || r.job == nil || r.job.cancelled {
+				os = append(os, Order{Verb: Reap, Task: r.id, Try: r.try})
+			}
+			continue
+		}
+		if r.stop || r.job != nil && r.job.cancelled {
+			drain := r.drain
+			if r.job == nil || r.job.cancelled {
+				drain = 0
+			}
+			if r.stopped.IsZero() {
+				r.stopped = c.now
+			}
+			os = append(os, Order{Verb: Stop, Task: r.id, Try: r.try, Drain: drain})
+		}
+	}
+	m.dirty = false
+	return os
+}
+
+// reply answers a machine's report, or keeps it waiting a little while there is
+// nothing to say and something may come.
+func (c *Core) reply(m *machine, due bool) {
+	l := c.lead
+	h := m.held
+	if h == nil {
+		return
+	}
+	os := c.orders(m)
+	if !c.leads() {
+		// Out of authority: no starts, no acknowledgements; but what has been
+		// cancelled is stopped, since that was decided while we had it.
+		os = slices.DeleteFunc(os, func(o Order) bool { return o.Verb != Stop })
+		c.sendReply(m, os)
+		return
+	}
+	if m.epoch == l.term {
+		os = append(os, c.startOn(m)...)
+	}
+	if len(os) > 0 || due || m.epoch != l.term || m.releasing {
+		c.sendReply(m, os)
+		return
+	}
+	hold := c.lead.holdIdle
+	if len(m.runs) > 0 {
+		hold = c.lead.holdBusy
+		if !m.usable() || m.room().CPU < l.rent.leastCPU {
+			hold = 0
+		}
+	}
+	if hold <= 0 {
+		c.sendReply(m, nil)
+		return
+	}
+	c.whenLeading(hold, func() {
+		if m.held == h {
+			c.reply(m, true)
+		}
+	})
+}
+
+func (c *Core) sendReply(m *machine, os []Order) {
+	c.emit(AnswerReport{Ref: m.held.ref, Status: 200, Epoch: c.lead.term, Orders: os})
+	m.held = nil
+	m.answered = c.now
+}
+
+// dispatchHeld looks again at the machines whose replies are held.
+func (c *Core) dispatchHeld() {
+	for _, m := range c.lead.fleet {
+		if m.held == nil || m.epoch != c.lead.term {
+			continue
+		}
+		os := append(c.orders(m), c.startOn(m)...)
+		if len(os) > 0 {
+			c.sendReply(m, os)
+		}
+	}
+}
+
+// releaseHeld answers all held reports.
+func (c *Core) releaseHeld() {
+	for _, m := range c.lead.fleet {
+		if m.held != nil {
+			c.reply(m, true)
+		}
+	}
+}
+
+func (c *Core) reportGone(ref uint64) {
+	if c.lead == nil {
+		return
+	}
+	for _, m := range c.lead.fleet {
+		if m.held != nil && m.held.ref == ref {
+			m.held = nil
+		}
+	}
+}
+
+// leaseOver returns when the machine's lease has surely ended if it is not
+// answered any more, and false while that cannot be told.
+func (c *Core) leaseOver(m *machine) (time.Time, bool) {
+	l := c.lead
+	if !l.owed[m.host] {
+		if m.answered.IsZero() {
+			return time.Time{}, false
+		}
+		return m.answered.Add(withDrift(c.lease)), true
+	}
+	// An earlier leader may have gone on answering it, until its peers told it
+	// of our term or its hold ran out.
+	base := l.since.Add(c.hold + slack)
+	if !l.ackedAt.IsZero() && l.ackedAt.Before(base) {
+		base = l.ackedAt
+	}
+	if m.answered.After(base) {
+		base = m.answered
+	}
+	return base.Add(withDrift(c.lease)), true
+}
+
+// expire gives up on the tasks of a machine whose lease is surely over.
+func (c *Core) expire(m *machine) {
+	c.note(slog.LevelWarn, "lease over", "machine", m.host, "tasks", len(m.runs))
+	for _, r := range slices.Clone(m.runs) {
+		c.dropRun(r)
+	}
+	if m.reported {
+		m.dead = m.tenure
+	}
+	m.reported, m.lost = false, true
+	m.answered = time.Time{}
+	c.accounted(m.host)
+	c.unbookMachine(m)
+}
+
+// blame weighs a failed task: the machine is faulty when jobs fail on it that
+// run elsewhere, the job when it fails wherever it goes.
+func (c *Core) blame(j *job, m *machine) {
+	j.errHosts[m.host] = true
+	j.failures++
+	m.suspect = true
+	if j.any {
+		m.strikes += 2
+	} else {
+		m.strikes++
+	}
+	if !j.any && len(j.errHosts) > 1 {
+		// Failed on several machines and never completed: more likely the job.
+		// It goes on one task at a time, less and less often.
+		wait := min(2*time.Second<<min(j.failures/2, 5), time.Minute)
+		j.retryAt = c.now.Add(wait)
+		c.note(slog.LevelDebug, "job keeps failing", "job", j.spec.ID, "failures", j.failures, "wait", wait)
+	}
+	if m.strikes >= 4 && !m.condemned {
+		m.condemned = true
+		c.note(slog.LevelWarn, "machine condemned", "machine", m.host, "type", m.flavorName, "reason", "tasks fail on it that run elsewhere")
+		c.unbookMachine(m)
+	}
+}
--- /dev/null
+++ b/internal/core/plan.go
@@ -0,0 +1,406 @@
+package core
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"yewpass/internal/timeline"
+)
+
+// booking reserves room for waiting tasks of one job on one machine's timeline.
+// Without a machine it only keeps their place in the queue.
+type booking struct {
+	timeline.Booking
+	job  *job
+	m    *machine
+	late bool // its slot was found by earliest fit
+}
+
+// waitQueue is all bookings in timeline order: by start, then by submission.
+type waitQueue []*booking
+
+func (b *booking) before(o *booking) bool {
+	if !b.Start.Equal(o.Start) {
+		return b.Start.Before(o.Start)
+	}
+	if !b.job.submitted.Equal(o.job.submitted) {
+		return b.job.submitted.Before(o.job.submitted)
+	}
+	return b.job.spec.ID < o.job.spec.ID
+}
+
+func (q *waitQueue) add(b *booking) {
+	i := sort.Search(len(*q), func(i int) bool { return b.before((*q)[i]) })
+	*q = slices.Insert(*q, i, b)
+}
+
+func (q *waitQueue) remove(b *booking) {
+	i := sort.Search(len(*q), func(i int) bool { return !(*q)[i].before(b) })
+	for ; i < len(*q); i++ {
+		if (*q)[i] == b {
+			*q = slices.Delete(*q, i, i+1)
+			return
+		}
+	}
+}
+
+// window bounds how many waiting tasks of a job are booked at a time, so that
+// an array of 100,000 tasks costs no more than a large one.
+const window = 256
+
+func flavorAllowed(s *JobSpec, name string) bool {
+	return len(s.Flavors) == 0 || slices.Contains(s.Flavors, name)
+}
+
+func hasZone(f *Flavor, zone string) bool { return slices.Contains(f.Zones, zone) }
+
+// eligible reports whether the job's tasks may run on the machine at all.
+func (m *machine) eligible(j *job) bool {
+	s := &j.spec
+	return m.usable() && (!m.reclaimable || s.Reclaimable) && flavorAllowed(s, m.flavorName) &&
+		(s.Zone == "" || s.Zone == m.zone) && j.need.Fits(m.tl.Capacity()) &&
+		(len(j.errHosts) == 0 || !j.errHosts[m.host] || len(j.errHosts) > 2)
+}
+
+// length is how long a booking of a task on the machine lasts.
+func (c *Core) length(j *job, m *machine) time.Duration {
+	if j.spec.Service {
+		return timeline.Forever
+	}
+	d := time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
+	if !m.images[j.spec.Image] {
+		d += fetch(&j.spec, m.flavor)
+	}
+	return d
+}
+
+// deadline returns by when a task of the job, running for about length, should
+// be over: by the user's deadline and by the operators' objectives, whichever is
+// the most pressing that can still be met. An objective on waiting counts as a
+// deadline one run time later. False: nothing is left to be met.
+func (c *Core) deadline(j *job, length time.Duration) (time.Time, bool) {
+	var best time.Time
+	if j.spec.Service {
+		return best, false
+	}
+	earliest := c.now.Add(length)
+	consider := func(t time.Time) {
+		if !t.Before(earliest) && (best.IsZero() || t.Before(best)) {
+			best = t
+		}
+	}
+	if j.spec.Dated {
+		consider(j.submitted.Add(j.spec.Due))
+	}
+	for _, o := range c.cfg.Settings.Objectives {
+		if o.Class != "" && o.Class != j.spec.Class {
+			continue
+		}
+		within := o.Within.Duration()
+		switch o.Kind {
+		case "wait":
+			consider(j.submitted.Add(within + length))
+		case "finished":
+			consider(j.submitted.Add(within))
+		case "guarantee":
+			if j.team.guarantee.CPU > 0 || j.team.guarantee.GPU > 0 {
+				consider(j.submitted.Add(within + length))
+			}
+		}
+	}
+	return best, !best.IsZero()
+}
+
+// from is when tasks can start on the machine at the earliest.
+func (c *Core) from(m *machine) time.Time {
+	if !m.reported && m.readyAt.After(c.now) {
+		return m.readyAt
+	}
+	return c.now
+}
+
+// slot offers the latest start on the machine that meets the deadline, or the
+// earliest fit for a job that has none to meet.
+func (c *Core) slot(j *job, m *machine, length time.Duration, by time.Time, dated bool) (time.Time, bool) {
+	from := c.from(m)
+	if dated {
+		return m.tl.Latest(from, by, length, j.need)
+	}
+	return m.tl.Earliest(from, length, j.need)
+}
+
+// book reserves room for the job's waiting tasks: each time on the machine that
+// offers the latest feasible start, among ties the one with the most free room
+// now. When no machine can make the deadline they take the earliest fit.
+func (c *Core) book(j *job) {
+	if j.halted() {
+		return
+	}
+	for n := min(j.waiting, window) - j.booked; n > 0; n = min(j.waiting, window) - j.booked {
+		b := c.bestSlot(j, n)
+		j.books = append(j.books, b)
+		j.booked += b.Count
+		c.lead.queue.add(b)
+		if b.m != nil {
+			b.m.tl.Add(&b.Booking)
+		}
+	}
+}
+
+func (c *Core) bestSlot(j *job, n int) *booking {
+	base := time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
+	by, dated := c.deadline(j, base)
+	for {
+		var best *machine
+		var start time.Time
+		var length time.Duration
+		for _, m := range c.lead.fleet {
+			if !m.eligible(j) {
+				continue
+			}
+			d := c.length(j, m)
+			s, ok := c.slot(j, m, d, by, dated)
+			if !ok {
+				continue
+			}
+			better := best == nil
+			if !better && s.Equal(start) {
+				better = best.room().CPU < m.room().CPU
+			} else if !better {
+				better = s.After(start) == dated
+			}
+			if better {
+				best, start, length = m, s, d
+			}
+		}
+		if best != nil {
+			k := max(best.tl.Count(start, length, j.need, n), 1)
+			return &booking{timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, j, best, !dated}
+		}
+		if dated {
+			dated = false
+			continue
+		}
+		// No machine at all: keep the place in the queue.
+		at := c.now
+		if by.After(c.now) {
+			at = by.Add(-base)
+		}
+		return &booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, false}
+	}
+}
+
+// drop takes a booking away whole.
+func (c *Core) drop(b *booking) {
+	c.lead.queue.remove(b)
+	b.job.booked -= b.Count
+	if i := slices.Index(b.job.books, b); i >= 0 {
+		b.job.books = slices.Delete(b.job.books, i, i+1)
+	}
+	if b.m != nil {
+		b.m.tl.Remove(&b.Booking)
+	}
+	b.Count = 0
+}
+
+// use takes one task off a booking.
+func (c *Core) use(b *booking) {
+	if b.Count == 1 {
+		c.drop(b)
+		return
+	}
+	b.Count--
+	b.job.booked--
+	if b.m != nil {
+		b.m.tl.Touch()
+	}
+}
+
+// unbook drops all bookings of a job.
+func (c *Core) unbook(j *job) {
+	for len(j.books) > 0 {
+		c.drop(j.books[len(j.books)-1])
+	}
+}
+
+// unbookOne drops the booking of a task that no longer waits.
+func (c *Core) unbookOne(j *job) {
+	if j.booked > j.waiting {
+		c.use(j.books[len(j.books)-1])
+	}
+}
+
+// unbookMachine books elsewhere what waits for the machine.
+func (c *Core) unbookMachine(m *machine) {
+	var jobs []*job
+	for _, b := range slices.Clone(c.lead.queue) {
+		if b.m == m {
+			c.drop(b)
+			jobs = append(jobs, b.job)
+		}
+	}
+	for _, j := range jobs {
+		c.book(j)
+	}
+	c.lead.dirty = true
+}
+
+// rebook finds new slots for bookings whose time has come without room, and for
+// those that have no machine. A few at a time: it is the costliest thing we do.
+func (c *Core) rebook(limit int) {
+	var due []*booking
+	for _, b := range c.lead.queue {
+		if len(due) >= limit {
+			break
+		}
+		if b.m == nil || b.Start.Before(c.now.Add(-300*time.Millisecond)) {
+			due = append(due, b)
+		}
+	}
+	for _, b := range due {
+		j := b.job
+		if j.halted() {
+			continue
+		}
+		c.drop(b)
+		c.book(j)
+	}
+}
+
+// placeRoom says how many more tasks of the job may be in the machine's zone
+// now, given where its other tasks are.
+func (c *Core) placeRoom(j *job, m *machine, n int) int {
+	s := &j.spec
+	if !s.SamePlace && !s.Apart {
+		return n
+	}
+	same := 0
+	for _, r := range j.runs {
+		if r.m.zone == m.zone {
+			same++
+		} else if s.SamePlace {
+			return 0
+		}
+	}
+	if s.Apart {
+		n = min(n, (s.Tasks+1)/2-same)
+	}
+	return max(n, 0)
+}
+
+// mayStart reports whether tasks of the job may start at all now.
+func (c *Core) mayStart(j *job) bool {
+	l := c.lead
+	return !j.halted() && !c.now.Before(j.retryAt) && (l.settled() || !j.earlier && !j.team.limited())
+}
+
+// startOn starts booked tasks on the machine in timeline order while they fit,
+// ahead of their time if need be, wherever they were booked: a machine with
+// free room takes what waits for a busy one.
+func (c *Core) startOn(m *machine) []Order {
+	l := c.lead
+	if !c.acts() || !m.reported || m.record != recorded || !m.usable() || c.now.Before(m.retryAt) || l.owed[m.host] {
+		return nil
+	}
+	var os []Order
+	room := m.room()
+	blocked := false
+	for i := 0; i < len(l.queue) && room.CPU > 0 && len(os) < 256; i++ {
+		b := l.queue[i]
+		j := b.job
+		if !m.eligible(j) || !c.mayStart(j) {
+			continue
+		}
+		if m.suspect && len(m.runs) > 0 {
+			break // one task at a time shows whether the machine works
+		}
+		n := j.need.Times(room, b.Count)
+		if n == 0 {
+			blocked = blocked || b.m == m
+			continue
+		}
+		if b.m != nil && b.m != m && !m.images[j.spec.Image] && b.m.ready(j) {
+			continue // its own machine has the room and the image
+		}
+		if blocked {
+			// Something larger waits here for its slot: start only what does
+			// not stand in its way.
+			if b.m == m {
+				m.tl.Remove(&b.Booking)
+			}
+			n = m.tl.Count(c.now, c.length(j, m), j.need, n)
+			if b.m == m {
+				m.tl.Add(&b.Booking)
+			}
+		}
+		n = j.team.room(j.need, n)
+		n = c.placeRoom(j, m, n)
+		if m.suspect || j.failures > 0 && !j.any {
+			n = min(n, max(0, 1-len(j.runs)))
+		}
+		if n == 0 {
+			continue
+		}
+		whole := n == b.Count
+		for range n {
+			os = append(os, c.start(b, m))
+		}
+		room = m.room()
+		if whole {
+			i-- // the booking has left the queue
+		}
+		if j.waiting > j.booked && j.booked < window/2 {
+			c.book(j)
+		}
+		if m.suspect {
+			break
+		}
+	}
+	return os
+}
+
+// ready reports whether the job's tasks could start on the machine right away.
+func (m *machine) ready(j *job) bool {
+	return m.reported && m.usable() && m.images[j.spec.Image] && j.need.Fits(m.room())
+}
+
+// start orders one task of a booking to start on a machine. The order goes out
+// with the reply to the machine's last report.
+func (c *Core) start(b *booking, m *machine) Order {
+	l := c.lead
+	j := b.job
+	i := j.pending.first()
+	c.use(b)
+	j.pending.clear(i)
+	j.waiting--
+	// Attempts rise across terms as well: the term comes first.
+	l.tries++
+	r := &run{id: TaskID{j.spec.ID, i}, try: l.term<<24 + l.tries, m: m, phase: orderedFor, order: m.counter, ordered: c.now}
+	m.runs = append(m.runs, r)
+	c.occupy(r, j)
+	return Order{Verb: Start, Task: r.id, Try: r.try}
+}
+
+// lateness is by how much the best timeline, of a machine at hand or of a type
+// that can be rented, would miss a dated job's deadline.
+func (c *Core) lateness(s *JobSpec) time.Duration {
+	l := c.lead
+	j := &job{spec: *s, need: s.Need()}
+	run := time.Duration(float64(c.estimateSpec(s)) * (1 + l.margin))
+	best := time.Duration(1<<63 - 1)
+	for _, m := range l.fleet {
+		if m.eligible(j) {
+			if t, ok := m.tl.Earliest(c.from(m), run, j.need); ok {
+				best = min(best, t.Add(run).Sub(c.now))
+			}
+		}
+	}
+	for i := range l.rent.flavors {
+		f := &l.rent.flavors[i]
+		if flavorAllowed(s, f.Name) && j.need.Fits(f.Capacity) && (s.Zone == "" || hasZone(f, s.Zone)) && l.rent.mayOffer(f, s.Reclaimable, c.now) {
+			best = min(best, f.Ready+fetch(s, f)+run)
+		}
+	}
+	return best - s.Due
+}
--- /dev/null
+++ b/internal/core/rent.go
@@ -0,0 +1,543 @@
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"yewpass/internal/config"
+	"yewpass/internal/timeline"
+)
+
+// offer is a kind of machine that can be rented.
+type offer struct {
+	flavor      string
+	zone        string
+	reclaimable bool
+}
+
+// renting is what the leader knows of the cloud.
+type renting struct {
+	flavors  []Flavor
+	leastCPU int64 // the smallest amount that a task could use; below it a machine is full
+	limit    *rate.Limiter
+	refused  map[offer]time.Time // no capacity until then
+	wanted   map[string]*rental  // requests whose outcome is not known
+	count    uint64              // names never repeat: term and this
+	listing  bool
+	listAt   time.Time
+	catalog  time.Time
+	backlog  time.Duration
+	phantom  map[string]bool
+	releases []string
+	freeing  bool
+}
+
+type rental struct {
+	offer
+	n    int
+	cpus float64
+	at   time.Time
+}
+
+func newRenting(cfg *config.Config) renting {
+	rps := cfg.Settings.Cloud.RPS
+	return renting{
+		limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps))), refused: map[offer]time.Time{},
+		wanted: map[string]*rental{}, leastCPU: 1,
+	}
+}
+
+func (r *renting) flavor(name string) *Flavor {
+	for i := range r.flavors {
+		if r.flavors[i].Name == name {
+			return &r.flavors[i]
+		}
+	}
+	return nil
+}
+
+// mayOffer reports whether some zone may have capacity for the type.
+func (r *renting) mayOffer(f *Flavor, reclaimable bool, now time.Time) bool {
+	for _, z := range f.Zones {
+		if now.After(r.refused[offer{f.Name, z, false}]) || reclaimable && now.After(r.refused[offer{f.Name, z, true}]) {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchCatalog reads the machine types and prices.
+func (c *Core) fetchCatalog() {
+	l := c.lead
+	c.cloud(CloudCall{Op: CloudCatalog}, func(r CloudReply) {
+		if c.lead != l {
+			return
+		}
+		if r.Outcome != OK || len(r.Flavors) == 0 {
+			c.whenLeading(c.jitter(time.Second), c.fetchCatalog)
+			return
+		}
+		if len(l.rent.flavors) == 0 {
+			l.rent.flavors = r.Flavors
+			for _, m := range l.fleet {
+				c.setFlavor(m)
+			}
+			l.dirty = true
+		} else {
+			for _, f := range r.Flavors { // prices move; machines keep pointing at the entries
+				if old := l.rent.flavor(f.Name); old != nil {
+					old.Rate, old.LowRate = f.Rate, f.LowRate
+				}
+			}
+		}
+		c.whenLeading(30*time.Second, c.fetchCatalog)
+	})
+}
+
+// listMachines reads the cloud's list, to find machines that an earlier leader
+// or a late request rented, and those that have failed.
+func (c *Core) listMachines(after string, got []Listed) {
+	l := c.lead
+	again := 6 * time.Second
+	c.cloud(CloudCall{Op: CloudList, After: after}, func(r CloudReply) {
+		if c.lead != l {
+			return
+		}
+		if r.Outcome != OK {
+			c.whenLeading(c.jitter(again), func() { c.listMachines("", nil) })
+			return
+		}
+		got = append(got, r.Listed...)
+		if r.More && len(r.Listed) > 0 {
+			c.listMachines(r.Listed[len(r.Listed)-1].Host, got)
+			return
+		}
+		for _, h := range got {
+			c.listed(h)
+		}
+		c.whenLeading(again, func() { c.listMachines("", nil) })
+	})
+}
+
+func (c *Core) listed(h Listed) {
+	l := c.lead
+	if l.gone[h.Host] {
+		return // the list lags
+	}
+	m := l.machines[h.Host]
+	if m == nil {
+		m = c.machine(h.Host, h.Flavor, h.Zone, h.Reclaimable)
+		m.rentedAt = c.now.Add(-h.Age)
+		if m.flavor != nil {
+			m.readyAt = m.rentedAt.Add(m.flavor.Ready)
+		}
+		l.dirty = true
+	}
+	if h.Status == "failed" && !m.releasing {
+		c.note(slog.LevelWarn, "machine failed", "machine", h.Host)
+		c.release(m)
+	}
+}
+
+// release returns a machine. Once the cloud has confirmed it, the machine and
+// all that was on it are gone.
+func (c *Core) release(m *machine) {
+	if m.releasing {
+		return
+	}
+	m.releasing = true
+	c.lead.rent.releases = append(c.lead.rent.releases, m.host)
+	c.unbookMachine(m)
+}
+
+func (c *Core) pumpReleases() {
+	l := c.lead
+	rent := &l.rent
+	if rent.freeing || len(rent.releases) == 0 || !c.acts() || !rent.limit.AllowN(c.now, 1) {
+		return
+	}
+	rent.freeing = true
+	hosts := slices.Clone(rent.releases[:min(len(rent.releases), 100)])
+	c.cloud(CloudCall{Op: CloudRelease, Hosts: hosts}, func(r CloudReply) {
+		if c.lead != l {
+			return
+		}
+		rent.freeing = false
+		if r.Outcome != OK {
+			return // still in the list of releases: tried again
+		}
+		for _, h := range hosts {
+			rent.releases = slices.DeleteFunc(rent.releases, func(x string) bool { return x == h })
+			c.removed(h)
+		}
+		c.pumpReleases()
+	})
+}
+
+// removed: the machine is proven gone.
+func (c *Core) removed(host string) {
+	l := c.lead
+	m := l.machines[host]
+	l.gone[host] = true
+	if m == nil {
+		return
+	}
+	for _, r := range slices.Clone(m.runs) {
+		c.dropRun(r)
+	}
+	if m.held != nil {
+		c.emit(AnswerReport{Ref: m.held.ref, Status: 503})
+		m.held = nil
+	}
+	delete(l.machines, host)
+	l.fleet = slices.DeleteFunc(l.fleet, func(x *machine) bool { return x == m })
+	c.accounted(host)
+	if m.record != unrecorded {
+		l.pipe.add(&change{writes: []Write{{Key: machineKeys + host}}, bulk: true})
+	}
+}
+
+// housekeep does what the passing of time asks for.
+func (c *Core) housekeep() {
+	l := c.lead
+	c.demand()
+	e := c.policyEnv()
+	secs := func(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
+	l.holdIdle, l.holdBusy = secs(c.pol.HoldIdle(e)), secs(c.pol.HoldBusy(e))
+	l.margin = c.pol.Margin(e)
+	silent, idle := secs(c.pol.SilentRelease(e)), secs(c.pol.IdleReturn(e))
+	if !c.acts() {
+		return
+	}
+	// When most machines fall silent at once, it is rather we who are cut off.
+	quiet, reporting := 0, 0
+	for _, m := range l.fleet {
+		if m.reported {
+			reporting++
+			if c.now.Sub(m.seen) > silent {
+				quiet++
+			}
+		}
+	}
+	cutOff := quiet > 2 && 2*quiet > reporting
+	for _, m := range slices.Clone(l.fleet) {
+		c.review(m, silent, idle, cutOff)
+	}
+	c.rebook(24)
+	c.rentMore(secs(c.pol.RentBacklog(e)))
+	c.pumpReleases()
+}
+
+// review looks after one machine.
+func (c *Core) review(m *machine, silent, idle time.Duration, cutOff bool) {
+	l := c.lead
+	if (len(m.runs) > 0 || l.owed[m.host]) && (m.reported || l.owed[m.host]) {
+		if at, ok := c.leaseOver(m); ok && c.now.After(at) {
+			c.expire(m)
+		}
+	}
+	if m.releasing {
+		return
+	}
+	last := m.seen
+	if !m.reported {
+		last = maxTime(m.seen, maxTime(m.since, l.since))
+	}
+	wait := silent
+	booting := m.seen.IsZero() && !l.owed[m.host]
+	if booting {
+		// Some machines take several times as long, a few never come up.
+		ready := 30 * time.Second
+		if m.flavor != nil {
+			ready = m.flavor.Ready
+		}
+		last, wait = m.rentedAt, max(3*ready, ready+30*time.Second)
+		if m.since.Add(3 * silent).After(last.Add(wait)) {
+			last, wait = m.since, 3*silent
+		}
+	}
+	switch {
+	case c.now.Sub(last) > wait && (!cutOff || booting):
+		c.note(slog.LevelWarn, "machine silent, releasing it", "machine", m.host, "type", m.flavorName, "silent", c.now.Sub(last), "tasks", len(m.runs), "booted", !booting)
+		c.release(m)
+		return
+	case m.flavor == nil && len(l.rent.flavors) > 0:
+		c.release(m) // of a type that the catalog does not have
+		return
+	}
+	if !m.reported {
+		return
+	}
+	c.drain(m)
+	if len(m.runs) > 0 {
+		return
+	}
+	age := c.now.Sub(m.rentedAt)
+	switch {
+	case m.condemned, !m.leaving.IsZero():
+		c.release(m)
+	case c.now.Sub(m.idle) > idle && age > 50*time.Second && !c.wanted(m):
+		c.note(slog.LevelInfo, "machine idle, returning it", "machine", m.host, "type", m.flavorName)
+		c.release(m)
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// wanted reports whether waiting tasks could use the machine.
+func (c *Core) wanted(m *machine) bool {
+	for _, b := range c.lead.queue {
+		if m.eligible(b.job) && c.mayStart(b.job) && b.job.team.room(b.Need, 1) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// drain empties a machine that the cloud takes away or that is condemned: tasks
+// that will not be over in time save and go, the others finish.
+func (c *Core) drain(m *machine) {
+	if !m.condemned && m.leaving.IsZero() {
+		return
+	}
+	for _, r := range m.runs {
+		if r.phase == Exited || r.stop || r.job == nil {
+			continue
+		}
+		left := m.leaving.Sub(c.now)
+		switch {
+		case m.condemned:
+		case r.phase == TaskRuns && !r.job.spec.Service:
+			end := r.began.Add(c.estimate(r.job))
+			if end.Before(m.leaving) {
+				continue
+			}
+			if s := r.job.spec.Snapshot; r.job.spec.SnapshotEvery > 0 && left > s+3*time.Second+c.report {
+				continue // saves a little later, as late as is safe
+			}
+		}
+		r.stop, r.drain = true, 0
+		if s := r.job.spec.Snapshot; r.job.spec.SnapshotEvery > 0 && (m.condemned || left > s) {
+			r.drain = s + time.Second
+		}
+		m.dirty = true
+		c.lead.dirty = true
+	}
+}
+
+// supply is how many CPUs are at hand or on their way.
+func (c *Core) supply(ordinaryOnly bool) (total, free float64) {
+	for _, m := range c.lead.fleet {
+		if !m.usable() || ordinaryOnly && m.reclaimable {
+			continue
+		}
+		if !m.reported && c.now.Sub(m.rentedAt) > 2*m.flavor.Ready+10*time.Second {
+			continue // not to be counted on
+		}
+		total += m.flavor.CPUs
+		free += float64(m.room().CPU) / 1000
+	}
+	for _, r := range c.lead.rent.wanted {
+		if !ordinaryOnly || !r.reclaimable {
+			total += r.cpus
+			free += r.cpus
+		}
+	}
+	return total, free
+}
+
+// demand sums up what waits: CPUs and CPU seconds.
+func (c *Core) demand() (cpus, work, ordinaryCPUs, ordinaryWork float64) {
+	l := c.lead
+	room := map[*team]float64{}
+	for _, b := range l.queue {
+		j := b.job
+		if b != j.books[0] || j.halted() || c.now.Before(j.retryAt) {
+			continue
+		}
+		n := float64(j.waiting) * float64(j.need.CPU) / 1000
+		if t := j.team; t.limit.CPU > 0 {
+			left, ok := room[t]
+			if !ok {
+				left = float64(t.limit.CPU-t.used.CPU) / 1000
+			}
+			n = min(n, left)
+			room[t] = left - n
+		}
+		secs := 600.0
+		if !j.spec.Service {
+			secs = c.estimate(j).Seconds() + 1
+		}
+		cpus += n
+		work += n * secs
+		if !j.spec.Reclaimable {
+			ordinaryCPUs += n
+			ordinaryWork += n * secs
+		}
+	}
+	total, _ := c.supply(false)
+	l.rent.backlog = time.Duration(work / max(total, 1) * float64(time.Second))
+	return cpus, work, ordinaryCPUs, ordinaryWork
+}
+
+// rentMore rents machines while the waiting work would take too long on those
+// at hand.
+func (c *Core) rentMore(bar time.Duration) {
+	l := c.lead
+	if len(l.rent.flavors) == 0 || !c.acts() {
+		return
+	}
+	// A job that no machine at hand can take needs one of its own.
+	for _, b := range l.queue {
+		if b.m != nil || b.job.halted() || slices.ContainsFunc(l.fleet, func(m *machine) bool { return m.eligible(b.job) }) {
+			continue
+		}
+		if !c.rentFor(&b.job.spec, float64(min(b.job.waiting, 8))*b.job.spec.CPUs, true) {
+			return
+		}
+		break
+	}
+	cpus, work, ocpus, owork := c.demand()
+	c.rentShortage(ocpus, owork, bar, true)
+	c.rentShortage(cpus, work, bar, false)
+}
+
+func (c *Core) rentShortage(cpus, work float64, bar time.Duration, ordinary bool) {
+	total, free := c.supply(ordinary)
+	// Enough to do the waiting work within the bar, but never more than could
+	// be used at once.
+	short := min(cpus-free, work/max(bar.Seconds(), 1)-free)
+	if total > 0 && work/total < bar.Seconds()/3 {
+		return
+	}
+	for short > 0.5 {
+		any := &JobSpec{Reclaimable: !ordinary}
+		got := c.rentFor(any, short, work/max(total, 1) > 3*bar.Seconds() || total == 0)
+		if !got {
+			return
+		}
+		_, now := c.supply(ordinary)
+		if now <= free {
+			return
+		}
+		short -= now - free
+		free = now
+	}
+}
+
+// rentFor sends one request for machines that suit the job; false if none could
+// be sent.
+func (c *Core) rentFor(s *JobSpec, cpus float64, pressing bool) bool {
+	l := c.lead
+	type choice struct {
+		offer
+		f    *Flavor
+		cost float64
+	}
+	var cs []choice
+	have := map[offer]int{}
+	for _, m := range l.fleet {
+		have[offer{m.flavorName, m.zone, m.reclaimable}]++
+	}
+	for i := range l.rent.flavors {
+		f := &l.rent.flavors[i]
+		if !flavorAllowed(s, f.Name) || !(s.Need() == timeline.Resources{} || s.Need().Fits(f.Capacity)) || f.CPUs <= 0 {
+			continue
+		}
+		for _, z := range f.Zones {
+			if s.Zone != "" && s.Zone != z {
+				continue
+			}
+			for _, low := range []bool{true, false} {
+				o := offer{f.Name, z, low}
+				if low && !s.Reclaimable || !low && s.Reclaimable && !pressing || c.now.Before(l.rent.refused[o]) {
+					continue
+				}
+				price := f.Rate
+				if low {
+					price = f.LowRate
+				}
+				// What the shortage would cost on this type, its boot included.
+				n := math.Ceil(cpus / f.CPUs)
+				used := min(cpus, n*f.CPUs)
+				cost := price * n / used * (1 + f.Ready.Seconds()/120)
+				cs = append(cs, choice{o, f, cost + 1e-9*float64(have[o])})
+			}
+		}
+	}
+	if len(cs) == 0 || !l.rent.limit.AllowN(c.now, 1) {
+		return false
+	}
+	slices.SortStableFunc(cs, func(a, b choice) int {
+		if a.reclaimable != b.reclaimable { // cheap ones first, ordinary ones when those are out
+			if a.reclaimable {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.cost, b.cost)
+	})
+	ch := cs[0]
+	n := min(int(math.Ceil(cpus/ch.f.CPUs)), 50)
+	l.rent.count++
+	name := fmt.Sprintf("t%d-%d", l.term, l.rent.count)
+	l.rent.wanted[name] = &rental{offer: ch.offer, n: n, cpus: float64(n) * ch.f.CPUs, at: c.now}
+	c.request(name)
+	return true
+}
+
+// request sends a rental, and again under the same name while its outcome is
+// not known.
+func (c *Core) request(name string) {
+	l := c.lead
+	w := l.rent.wanted[name]
+	c.cloud(CloudCall{Op: CloudRent, Rental: name, Flavor: w.flavor, Zone: w.zone, Reclaimable: w.reclaimable, Count: w.n}, func(r CloudReply) {
+		if c.lead != l {
+			return
+		}
+		switch r.Outcome {
+		case OK:
+			delete(l.rent.wanted, name)
+			for _, h := range r.Hosts {
+				if l.gone[h] {
+					continue
+				}
+				m := c.machine(h, w.flavor, w.zone, w.reclaimable)
+				m.rentedAt = w.at
+				if m.flavor != nil {
+					m.readyAt = w.at.Add(m.flavor.Ready)
+				}
+			}
+			c.note(slog.LevelInfo, "machines rented", "rental", name, "type", w.flavor, "zone", w.zone, "cheap", w.reclaimable, "wanted", w.n, "got", len(r.Hosts))
+			if len(r.Hosts) < w.n {
+				l.rent.refused[w.offer] = c.now.Add(c.jitter(10 * time.Second))
+			}
+			l.dirty = true
+		case Refused:
+			delete(l.rent.wanted, name)
+			l.rent.refused[w.offer] = c.now.Add(c.jitter(10 * time.Second))
+			c.note(slog.LevelInfo, "rental refused", "type", w.flavor, "zone", w.zone, "cheap", w.reclaimable, "wanted", w.n)
+		case Invalid:
+			delete(l.rent.wanted, name)
+			l.rent.refused[w.offer] = c.now.Add(time.Minute)
+			c.note(slog.LevelError, "rental rejected as malformed", "type", w.flavor, "zone", w.zone)
+		default:
+			c.whenLeading(c.jitter(2*time.Second), func() {
+				if l.rent.wanted[name] != nil {
+					c.request(name)
+				}
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/store.go
@@ -0,0 +1,192 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// change is a set of writes that go together, with the conditions of its own.
+type change struct {
+	when   []Cond
+	writes []Write
+	size   int // estimated bytes
+	bulk   bool
+	maybe  bool // an earlier try may have been applied, or may be yet
+	done   func(rev uint64)
+	failed func() // a condition of its own did not hold
+}
+
+// pipeline batches changes into transactions within the state service's limits.
+// Bulk changes (progress) only go when no other waits, so that an acceptance is
+// never delayed behind them. Changes of the same key never overlap.
+type pipeline struct {
+	writes, reqs *rate.Limiter
+	urgent, bulk []*change
+	flying       int
+	flyingBulk   int
+	busy         map[string]bool // keys of transactions on their way
+	pause        time.Time
+	backoff      time.Duration
+	nudged       bool
+}
+
+func (p *pipeline) add(ch *change) {
+	if ch.size == 0 {
+		ch.size = 120 * (len(ch.writes) + len(ch.when))
+	}
+	if ch.bulk {
+		p.bulk = append(p.bulk, ch)
+	} else {
+		p.urgent = append(p.urgent, ch)
+	}
+}
+
+// txnBytes keeps a transaction below the protocol's 64 KiB.
+const txnBytes = 48 << 10
+
+// take removes a batch from list.
+func (p *pipeline) take(list *[]*change, ops int) []*change {
+	var batch []*change
+	n, conds, size := 0, 1, 0
+	keys := map[string]bool{}
+	rest := (*list)[:0:0]
+	for i, ch := range *list {
+		clash := slices.ContainsFunc(ch.writes, func(w Write) bool { return p.busy[w.Key] || keys[w.Key] })
+		full := n+len(ch.writes) > ops || conds+len(ch.when) > 4*ops || size+ch.size > txnBytes
+		if full && len(batch) > 0 {
+			rest = append(rest, (*list)[i:]...)
+			break
+		}
+		for _, w := range ch.writes {
+			keys[w.Key] = true // also when it must wait: what comes later waits behind it
+		}
+		if clash {
+			rest = append(rest, ch)
+			continue
+		}
+		batch = append(batch, ch)
+		n, conds, size = n+len(ch.writes), conds+len(ch.when), size+ch.size
+	}
+	*list = rest
+	return batch
+}
+
+// pumpStore sends what may be sent.
+func (c *Core) pumpStore() {
+	p := &c.lead.pipe
+	if !c.acts() || c.now.Before(p.pause) {
+		return
+	}
+	for len(p.urgent) > 0 && p.flying < 3 {
+		if !c.sendBatch(&p.urgent, false) {
+			return
+		}
+	}
+	// Progress leaves room in the allowance for what users wait for.
+	if len(p.bulk) > 0 && len(p.urgent) == 0 && p.flyingBulk == 0 && p.writes.TokensAt(c.now) >= float64(p.writes.Burst())/2 {
+		c.sendBatch(&p.bulk, true)
+	}
+}
+
+func (c *Core) sendBatch(list *[]*change, bulk bool) bool {
+	p := &c.lead.pipe
+	if p.reqs.TokensAt(c.now) < 1 || p.writes.TokensAt(c.now) < 1 {
+		if !p.nudged {
+			p.nudged = true
+			c.whenLeading(20*time.Millisecond, func() { p.nudged = false })
+		}
+		return false
+	}
+	ops := min(c.cfg.Settings.State.TxnOps, max(1, int(p.writes.TokensAt(c.now))))
+	batch := p.take(list, ops)
+	if len(batch) == 0 {
+		return false
+	}
+	call := StoreCall{Op: StoreTxn, When: []Cond{{termKey, c.lead.termRev}}}
+	for _, ch := range batch {
+		call.When = append(call.When, ch.when...)
+		call.Then = append(call.Then, ch.writes...)
+	}
+	p.reqs.AllowN(c.now, 1)
+	p.writes.AllowN(c.now, min(len(call.Then), p.writes.Burst()))
+	for _, w := range call.Then {
+		p.busy[w.Key] = true
+	}
+	if bulk {
+		p.flyingBulk++
+	} else {
+		p.flying++
+	}
+	c.leaderStore(call, func(r StoreReply) {
+		if bulk {
+			p.flyingBulk--
+		} else {
+			p.flying--
+		}
+		for _, w := range call.Then {
+			delete(p.busy, w.Key)
+		}
+		c.batchDone(batch, r)
+	})
+	return true
+}
+
+func (c *Core) batchDone(batch []*change, r StoreReply) {
+	p := &c.lead.pipe
+	again := func(chs []*change) {
+		for _, ch := range slices.Backward(chs) {
+			if ch.bulk {
+				p.bulk = slices.Insert(p.bulk, 0, ch)
+			} else {
+				p.urgent = slices.Insert(p.urgent, 0, ch)
+			}
+		}
+	}
+	switch r.Outcome {
+	case OK:
+		p.backoff = 0
+		for _, ch := range batch {
+			if ch.done != nil {
+				ch.done(r.Rev)
+			}
+		}
+	case Conflict:
+		p.backoff = 0
+		if slices.Contains(r.Failed, termKey) {
+			c.stepDown("a newer term has been written")
+			return
+		}
+		var rest []*change
+		for _, ch := range batch {
+			own := slices.ContainsFunc(ch.when, func(w Cond) bool { return slices.Contains(r.Failed, w.Key) })
+			switch {
+			case own && ch.failed != nil:
+				ch.failed()
+			case own:
+			default:
+				rest = append(rest, ch)
+			}
+		}
+		again(rest)
+	case Invalid:
+		// Ours to get right: log it loudly, and try the changes one by one so
+		// that a single bad one does not block the rest for ever.
+		c.note(slog.LevelError, "transaction rejected as malformed", "changes", len(batch), "key", batch[0].writes[0].Key)
+		p.pause = c.now.Add(c.jitter(time.Second))
+		again(batch)
+	default:
+		if r.Outcome == Unknown {
+			for _, ch := range batch {
+				ch.maybe = true
+			}
+		}
+		p.backoff = min(max(2*p.backoff, 100*time.Millisecond), 2*time.Second)
+		d := c.jitter(p.backoff)
+		p.pause = c.now.Add(d)
+		c.whenLeading(d, func() {})
+		again(batch)
+	}
+}
--- /dev/null
+++ b/internal/core/teams.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"yewpass/internal/config"
+	"yewpass/internal/timeline"
+)
+
+// team is a team's account. What its tasks use is counted from the order to
+// start until they are surely gone.
+type team struct {
+	configured       bool
+	guarantee, limit timeline.Resources // 0: none
+	used             timeline.Resources
+	jobs             int
+}
+
+func newTeam(t config.Team) *team {
+	return &team{
+		configured: true,
+		guarantee:  timeline.Capacity(t.CPUs, t.GPUs, 0),
+		limit:      timeline.Capacity(t.CPUsMax, t.GPUsMax, 0),
+	}
+}
+
+func (t *team) limited() bool { return t.limit.CPU > 0 || t.limit.GPU > 0 }
+
+// within reports whether n tasks fit into the team's limit on their own.
+func (t *team) within(need timeline.Resources, n int) bool {
+	return (t.limit.CPU == 0 || need.CPU*int64(n) <= t.limit.CPU) &&
+		(t.limit.GPU == 0 || need.GPU*int64(n) <= t.limit.GPU)
+}
+
+// room says how many more tasks the team's limit allows, at most n.
+func (t *team) room(need timeline.Resources, n int) int {
+	if t.limit.CPU > 0 && need.CPU > 0 {
+		n = min(n, int((t.limit.CPU-t.used.CPU)/need.CPU))
+	}
+	if t.limit.GPU > 0 && need.GPU > 0 {
+		n = min(n, int((t.limit.GPU-t.used.GPU)/need.GPU))
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,418 @@
+// Package core is the controller as a state machine: inputs go in, what to
+// send, write and answer comes out. It does no I/O, starts no goroutines, reads
+// no clock and draws no randomness but from the seed it was given.
+package core
+
+import (
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"yewpass/internal/timeline"
+)
+
+// Urgency orders jobs for preemption; the larger one is more urgent.
+type Urgency int
+
+// The urgencies of the protocol.
+const (
+	Idle Urgency = iota
+	Standard
+	Urgent
+	Production
+)
+
+// UrgencyNames are the urgencies as users write them, least urgent first.
+var UrgencyNames = [...]string{"idle", "standard", "urgent", "production"}
+
+func (u Urgency) String() string { return UrgencyNames[u] }
+
+// JobSpec is a job as its user submitted it.
+type JobSpec struct {
+	ID            string
+	Class, Owner  string
+	Service       bool
+	Urgency       Urgency
+	Tasks         int
+	CPUs          float64
+	GPUs          float64
+	MemGB         float64
+	Image         string
+	ImageGB       float64
+	Flavors       []string // nil: any
+	Zone          string   // empty: any
+	SamePlace     bool
+	Apart         bool
+	Reclaimable   bool
+	Runtime       time.Duration
+	SnapshotEvery time.Duration
+	Snapshot      time.Duration
+	Due           time.Duration // from the submission
+	Dated         bool
+}
+
+// Need is what a task of the job takes.
+func (s *JobSpec) Need() timeline.Resources { return timeline.Need(s.CPUs, s.GPUs, s.MemGB) }
+
+// MaxTasks is the protocol's limit on the tasks of a job.
+const MaxTasks = 100_000
+
+// JobState is a job's state as users see it.
+type JobState string
+
+// The states of a job.
+const (
+	Queued    JobState = "queued"
+	Running   JobState = "running"
+	Done      JobState = "done"
+	Cancelled JobState = "cancelled"
+)
+
+// TaskID names a task: job and number.
+type TaskID struct {
+	Job   string
+	Index int
+}
+
+func (t TaskID) String() string { return t.Job + "/" + strconv.Itoa(t.Index) }
+
+// ParseTaskID reads a task's name.
+func ParseTaskID(s string) (TaskID, bool) {
+	job, num, ok := strings.Cut(s, "/")
+	n, err := strconv.Atoi(num)
+	return TaskID{job, n}, ok && err == nil && n >= 0 && n < MaxTasks && job != ""
+}
+
+// Phase is the state of a task on a machine.
+type Phase string
+
+// The phases that workers report.
+const (
+	Pulling    Phase = "pulling"
+	TaskRuns   Phase = "running"
+	Saving     Phase = "saving"
+	Exited     Phase = "exited"
+	orderedFor Phase = "ordered" // a start is in a reply that is not yet answered for
+)
+
+// Causes of an exit.
+const (
+	CauseDone    = "done"
+	CauseStopped = "stopped"
+	CauseError   = "error"
+	CauseNoRoom  = "no_room"
+	CauseBusy    = "busy"
+	CauseNoSuch  = "no_such"
+)
+
+// TaskReport is one task in a report.
+type TaskReport struct {
+	Task  TaskID
+	Try   uint64
+	Phase Phase
+	Cause string
+}
+
+// Report is a worker's report.
+type Report struct {
+	Host, Address, Flavor, Zone string
+	Reclaimable                 bool
+	Tenure, Counter, Epoch      uint64
+	Notice                      time.Duration
+	HasNotice                   bool
+	Tasks                       []TaskReport
+}
+
+// Verb is what an order asks of a worker.
+type Verb string
+
+// The verbs of the worker protocol.
+const (
+	Start Verb = "start"
+	Stop  Verb = "stop"
+	Reap  Verb = "reap"
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb  Verb
+	Task  TaskID
+	Try   uint64
+	Drain time.Duration // of a stop
+}
+
+// Flavor is a machine type of the catalog.
+type Flavor struct {
+	Name      string
+	Capacity  timeline.Resources
+	CPUs      float64
+	LocalGB   float64
+	FetchGBps float64
+	Rate      float64 // per hour
+	LowRate   float64 // per hour, reclaimable
+	Ready     time.Duration
+	Zones     []string
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	Host, Flavor, Zone, Status string
+	Reclaimable                bool
+	Age                        time.Duration
+}
+
+// ---- inputs
+
+// UserOp is what a user asks for.
+type UserOp string
+
+// The operations of the user interface.
+const (
+	OpSubmit UserOp = "submit"
+	OpGet    UserOp = "get"
+	OpCancel UserOp = "cancel"
+)
+
+// UserCall is a user's request, from this node's own socket or forwarded by a
+// peer.
+type UserCall struct {
+	Ref  uint64
+	From string // the peer that forwarded it, empty for our own user
+	Op   UserOp
+	ID   string
+	Spec *JobSpec
+}
+
+// ReportIn is a worker's report waiting for its reply.
+type ReportIn struct {
+	Ref    uint64
+	Report Report
+}
+
+// ReportGone says that the worker gave up on a report: its reply goes nowhere.
+type ReportGone struct{ Ref uint64 }
+
+// Outcome says what is known of a call to an outside service.
+type Outcome int
+
+// Outcomes. Anything malformed or unexpected counts as Unknown, never as OK.
+const (
+	OK       Outcome = iota
+	Conflict         // a transaction's condition failed
+	Missing          // 404
+	Refused          // known not to have been executed: 429, 503
+	Invalid          // 400
+	Unknown          // may have been executed, or may be later
+)
+
+// Entry is one key of the state service.
+type Entry struct {
+	Key   string
+	Value any // *JobRecord, *FinalRecord, *MachineRecord, *ProgressRecord, *LeaderRecord, *TermRecord, or nil when unreadable
+	Rev   uint64
+}
+
+// StoreReply answers a StoreCall.
+type StoreReply struct {
+	Ref     uint64
+	Outcome Outcome
+	Rev     uint64
+	Grant   uint64
+	Failed  []string
+	Entries []Entry
+	More    bool
+}
+
+// CloudReply answers a CloudCall.
+type CloudReply struct {
+	Ref     uint64
+	Outcome Outcome
+	Hosts   []string
+	Flavors []Flavor
+	Listed  []Listed
+	More    bool
+}
+
+// PeerIn is a message from another controller.
+type PeerIn struct {
+	From string
+	Msg  PeerMsg
+}
+
+// PeerLink tells that our link to a peer came up or went down.
+type PeerLink struct {
+	Name string
+	Up   bool
+}
+
+// PeerKind says what a peer message is.
+type PeerKind string
+
+// The kinds of peer messages.
+const (
+	PeerLeader PeerKind = "leader" // the sender leads the term
+	PeerAck    PeerKind = "ack"    // the sender has taken note of the term
+	PeerCall   PeerKind = "call"   // a user's request, forwarded
+	PeerAnswer PeerKind = "answer" // its answer
+)
+
+// PeerMsg is what controllers say to each other.
+type PeerMsg struct {
+	Kind   PeerKind
+	Term   uint64
+	Ref    uint64
+	Op     UserOp
+	ID     string
+	Spec   *JobSpec
+	Answer *AnswerUser
+}
+
+// Tick lets the core act on the passing of time.
+type Tick struct{}
+
+// ---- outputs
+
+// JobView is what a user is told of a job.
+type JobView struct {
+	ID            string
+	State         JobState
+	Done, Running int
+}
+
+// AnswerUser answers a UserCall.
+type AnswerUser struct {
+	Ref        uint64
+	Status     int
+	RetryAfter time.Duration
+	View       JobView
+	Field      string
+	Reason     string
+}
+
+// AnswerReport answers a ReportIn.
+type AnswerReport struct {
+	Ref      uint64
+	Status   int
+	Epoch    uint64
+	Orders   []Order
+	Upstream string
+}
+
+// StoreOp is a kind of call to the state service.
+type StoreOp int
+
+// The calls to the state service.
+const (
+	StoreGet StoreOp = iota
+	StoreList
+	StoreTxn
+	StoreGrant
+	StoreExtend
+	StoreDropGrant
+	StoreFollow
+)
+
+// Cond is a condition of a transaction: the revision a key must have.
+type Cond struct {
+	Key string
+	Rev uint64
+}
+
+// Write is one change of a transaction; a nil value drops the key.
+type Write struct {
+	Key   string
+	Value any
+	Grant uint64
+}
+
+// StoreCall asks the state service for something.
+type StoreCall struct {
+	Ref     uint64
+	Op      StoreOp
+	Key     string // or prefix
+	From    string
+	FromRev uint64
+	Limit   int
+	Wait    time.Duration // of StoreFollow
+	TTL     time.Duration
+	Grant   uint64
+	When    []Cond
+	Then    []Write
+	Within  time.Duration // give up after this
+}
+
+// CloudOp is a kind of call to the cloud.
+type CloudOp int
+
+// The calls to the cloud.
+const (
+	CloudCatalog CloudOp = iota
+	CloudRent
+	CloudRelease
+	CloudList
+)
+
+// CloudCall asks the cloud for something.
+type CloudCall struct {
+	Ref         uint64
+	Op          CloudOp
+	Rental      string
+	Flavor      string
+	Zone        string
+	Reclaimable bool
+	Count       int
+	Hosts       []string
+	After       string
+	Within      time.Duration
+}
+
+// PeerSend sends a message to a peer.
+type PeerSend struct {
+	To  string
+	Msg PeerMsg
+}
+
+// Note is a line for the operators' log.
+type Note struct {
+	Level slog.Level
+	Text  string
+	Attrs []any
+}
+
+// ---- records in the state service
+
+// JobRecord keeps an accepted job until it is over.
+type JobRecord struct {
+	Spec      JobSpec
+	Submitted time.Time // time of day
+	Cancelled bool
+}
+
+// FinalRecord keeps how a job ended, for good.
+type FinalRecord struct {
+	State JobState
+	Done  int
+}
+
+// ProgressRecord keeps which tasks of one chunk of a job are done.
+type ProgressRecord struct {
+	Ranges string
+}
+
+// MachineRecord marks a machine that may hold tasks.
+type MachineRecord struct {
+	Flavor, Zone string
+	Reclaimable  bool
+}
+
+// LeaderRecord names the leader, under its grant.
+type LeaderRecord struct {
+	Node string
+	Term uint64
+}
+
+// TermRecord counts the terms; a term is the workers' epoch.
+type TermRecord struct {
+	Term uint64
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,349 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"yewpass/internal/policy"
+)
+
+// accepting is a submission whose record is on its way to the state service.
+type accepting struct {
+	spec    *JobSpec
+	waiters []UserCall
+}
+
+func (a *accepting) answerAll(c *Core, ans AnswerUser) {
+	for _, w := range a.waiters {
+		c.answer(w, ans)
+	}
+	a.waiters = nil
+}
+
+// forwarded is a request that the leader answers for us.
+type forwarded struct {
+	call   UserCall
+	leader string
+}
+
+func unavailable(reason string) AnswerUser {
+	return AnswerUser{Status: 503, RetryAfter: time.Second, Reason: reason}
+}
+
+// answer sends an answer to where the request came from.
+func (c *Core) answer(call UserCall, a AnswerUser) {
+	a.Ref = call.Ref
+	if call.From == "" {
+		c.emit(a)
+		return
+	}
+	c.emit(PeerSend{call.From, PeerMsg{Kind: PeerAnswer, Ref: call.Ref, Answer: &a}})
+}
+
+func (c *Core) userCall(call UserCall) {
+	if c.acts() {
+		c.serve(call)
+		return
+	}
+	if call.From != "" {
+		c.answer(call, unavailable("not the leader"))
+		return
+	}
+	if f, ok := c.final.Get(call.ID); ok {
+		c.answer(call, AnswerUser{Status: 200, View: f.view(call.ID)}) // final states never change
+		return
+	}
+	if c.lead == nil && c.hint != "" && c.links[c.hint] {
+		c.forward(call)
+		return
+	}
+	c.withoutLeader(call)
+}
+
+// forward passes a request on to the leader.
+func (c *Core) forward(call UserCall) {
+	ref := c.nextRef()
+	c.calls[ref] = &forwarded{call, c.hint}
+	c.emit(PeerSend{c.hint, PeerMsg{Kind: PeerCall, Ref: ref, Op: call.Op, ID: call.ID, Spec: call.Spec}})
+	wait := 2500 * time.Millisecond
+	if call.Op == OpGet {
+		wait = 800 * time.Millisecond // a poll is given up after 2 s
+	}
+	c.after(wait, func() {
+		if c.calls[ref] != nil {
+			delete(c.calls, ref)
+			c.withoutLeader(call)
+		}
+	})
+}
+
+func (c *Core) peerAnswer(from string, m PeerMsg) {
+	f := c.calls[m.Ref]
+	if f == nil || f.leader != from || m.Answer == nil {
+		return
+	}
+	delete(c.calls, m.Ref)
+	if m.Answer.Status == 503 && f.call.Op == OpGet {
+		c.withoutLeader(f.call)
+		return
+	}
+	if s := m.Answer.View.State; m.Answer.Status == 200 && (s == Done || s == Cancelled) && f.call.Op == OpGet {
+		// Only a final answer to a poll: a job that is cancelled may still be
+		// on record as such, which is final as well.
+		c.final.Add(f.call.ID, FinalRecord{s, m.Answer.View.Done})
+	}
+	c.answer(f.call, *m.Answer)
+}
+
+// linkLost answers what was forwarded over a lost link.
+func (c *Core) linkLost(name string) {
+	for ref, f := range c.calls {
+		if f.leader == name {
+			delete(c.calls, ref)
+			c.withoutLeader(f.call)
+		}
+	}
+}
+
+// withoutLeader serves what the state service alone can answer.
+func (c *Core) withoutLeader(call UserCall) {
+	if call.Op != OpGet {
+		c.answer(call, unavailable("no leader at present"))
+		return
+	}
+	c.readJob(call.ID, func(v *JobView, known bool) {
+		switch {
+		case !known:
+			c.answer(call, unavailable("the state service does not answer"))
+		case v == nil:
+			c.answer(call, AnswerUser{Status: 404, Reason: "no such job"})
+		default:
+			c.answer(call, AnswerUser{Status: 200, View: *v})
+		}
+	})
+}
+
+// readJob reads a job's state from the state service: first the live record,
+// then the final one, because a job moves from the first to the second in one
+// transaction. v is nil for a job that does not exist.
+func (c *Core) readJob(id string, f func(v *JobView, known bool)) {
+	if !c.reads.AllowN(c.now, 2) {
+		f(nil, false)
+		return
+	}
+	c.store(StoreCall{Op: StoreGet, Key: jobKeys + id}, func(r StoreReply) {
+		switch r.Outcome {
+		case OK:
+			rec, _ := r.Entries[0].Value.(*JobRecord)
+			if rec == nil {
+				f(nil, false)
+				return
+			}
+			v := JobView{ID: id, State: Queued}
+			if rec.Cancelled {
+				v.State = Cancelled
+			}
+			f(&v, true)
+		case Missing:
+			c.store(StoreCall{Op: StoreGet, Key: finalKeys + id}, func(r StoreReply) {
+				switch r.Outcome {
+				case OK:
+					rec, _ := r.Entries[0].Value.(*FinalRecord)
+					if rec == nil {
+						f(nil, false)
+						return
+					}
+					c.final.Add(id, *rec)
+					v := rec.view(id)
+					f(&v, true)
+				case Missing:
+					f(nil, true)
+				default:
+					f(nil, false)
+				}
+			})
+		default:
+			f(nil, false)
+		}
+	})
+}
+
+// serve answers as the leader.
+func (c *Core) serve(call UserCall) {
+	l := c.lead
+	if j := l.jobs[call.ID]; j != nil {
+		if call.Op == OpCancel {
+			c.cancel(j, call)
+			return
+		}
+		c.answer(call, AnswerUser{Status: 200, View: j.view()})
+		return
+	}
+	if f, ok := c.final.Get(call.ID); ok {
+		c.answer(call, AnswerUser{Status: 200, View: f.view(call.ID)})
+		return
+	}
+	if a := l.accept[call.ID]; a != nil {
+		if call.Op == OpSubmit {
+			a.waiters = append(a.waiters, call)
+		} else {
+			c.answer(call, unavailable("the submission is being recorded"))
+		}
+		return
+	}
+	if call.Op == OpSubmit {
+		c.submit(call)
+		return
+	}
+	c.readBack(call, func() { c.answer(call, AnswerUser{Status: 404, Reason: "no such job"}) })
+}
+
+// readBack answers from the records, or calls missing for a job that has none.
+// A record that memory does not have is an acceptance whose write came through
+// after it had been given up: the job is taken on.
+func (c *Core) readBack(call UserCall, missing func()) {
+	l := c.lead
+	c.readJob(call.ID, func(v *JobView, known bool) {
+		switch {
+		case c.lead != l || !c.acts() || !known:
+			c.answer(call, unavailable("the state service does not answer"))
+		case v == nil:
+			missing()
+		case v.State == Done || v.State == Cancelled:
+			c.answer(call, AnswerUser{Status: 200, View: *v})
+		default:
+			c.adopt(call.ID, func() { c.serve(call) }, func() {
+				c.answer(call, unavailable("the state service does not answer"))
+			})
+		}
+	})
+}
+
+// adopt takes on a job whose record exists but which memory lacks.
+func (c *Core) adopt(id string, then, otherwise func()) {
+	c.leaderStore(StoreCall{Op: StoreGet, Key: jobKeys + id}, func(r StoreReply) {
+		if r.Outcome != OK {
+			otherwise()
+			return
+		}
+		if rec, _ := r.Entries[0].Value.(*JobRecord); rec != nil && c.lead.jobs[id] == nil {
+			delete(c.lead.accept, id)
+			c.jobLoaded(c.addJob(rec, false))
+		}
+		if c.lead.jobs[id] == nil {
+			otherwise()
+			return
+		}
+		then()
+	})
+}
+
+// submit decides on a new job and answers once its record is committed.
+func (c *Core) submit(call UserCall) {
+	l := c.lead
+	if len(l.rent.flavors) == 0 {
+		c.answer(call, unavailable("the machine types are not known yet"))
+		return
+	}
+	s := call.Spec
+	// A refusal must never meet a job that was accepted once, so the records
+	// have the last word before it.
+	if reason := c.neverRuns(s); reason != "" {
+		c.readBack(call, func() { c.answer(call, AnswerUser{Status: 422, Reason: reason}) })
+		return
+	}
+	if late, refused := c.refuses(s); refused {
+		c.readBack(call, func() {
+			c.note(slog.LevelInfo, "admission refused", "job", s.ID, "class", s.Class, "late", late)
+			wait := min(max(late, time.Second), 30*time.Second)
+			c.answer(call, AnswerUser{Status: 429, RetryAfter: wait, Reason: "no timeline can complete the job in time at present"})
+		})
+		return
+	}
+	a := &accepting{spec: s, waiters: []UserCall{call}}
+	l.accept[s.ID] = a
+	rec := &JobRecord{Spec: *s, Submitted: c.now.Round(0)}
+	l.pipe.add(&change{
+		size:   recordSize(s),
+		when:   []Cond{{jobKeys + s.ID, 0}, {finalKeys + s.ID, 0}},
+		writes: []Write{{Key: jobKeys + s.ID, Value: rec}},
+		done: func(uint64) {
+			delete(l.accept, s.ID)
+			j := c.addJob(rec, false)
+			c.jobLoaded(j)
+			a.answerAll(c, AnswerUser{Status: 201, View: j.view()})
+		},
+		failed: func() { c.acceptConflict(a) },
+	})
+}
+
+// acceptConflict: the job has a record already, maybe from a try of ours whose
+// outcome was not known.
+func (c *Core) acceptConflict(a *accepting) {
+	id := a.spec.ID
+	c.readJob(id, func(v *JobView, known bool) {
+		if c.lead == nil || c.lead.accept[id] != a {
+			return
+		}
+		switch {
+		case !known || v == nil:
+			a.answerAll(c, unavailable("the state service does not answer"))
+			c.whenLeading(time.Second, func() { c.acceptConflict(a) })
+		case v.State == Done || v.State == Cancelled:
+			delete(c.lead.accept, id)
+			a.answerAll(c, AnswerUser{Status: 200, View: *v})
+		default:
+			c.adopt(id, func() {
+				delete(c.lead.accept, id)
+				if j := c.lead.jobs[id]; j != nil {
+					a.answerAll(c, AnswerUser{Status: 200, View: j.view()})
+				}
+			}, func() {
+				a.answerAll(c, unavailable("the state service does not answer"))
+				c.whenLeading(time.Second, func() { c.acceptConflict(a) })
+			})
+		}
+	})
+}
+
+// neverRuns says why a job can never run, or "".
+func (c *Core) neverRuns(s *JobSpec) string {
+	t := c.lead.teams[s.Owner]
+	if t == nil || !t.configured {
+		return "unknown team " + s.Owner
+	}
+	n := 1
+	if s.Service {
+		n = s.Tasks
+	}
+	if !t.within(s.Need(), n) {
+		return "the job needs more than the limit of team " + s.Owner
+	}
+	for i := range c.lead.rent.flavors {
+		f := &c.lead.rent.flavors[i]
+		if flavorAllowed(s, f.Name) && s.Need().Fits(f.Capacity) && (s.Zone == "" || hasZone(f, s.Zone)) {
+			return ""
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+// refuses judges a dated job against the timelines of the machines at hand and
+// of the types that can be rented, and asks the policy.
+func (c *Core) refuses(s *JobSpec) (time.Duration, bool) {
+	if !s.Dated {
+		return 0, false
+	}
+	late := c.lateness(s)
+	e := c.policyEnv()
+	e.Class, e.Owner, e.Urgency, e.Dated, e.LateS = s.Class, s.Owner, s.Urgency.String(), true, late.Seconds()
+	return late, c.pol.Refuse(e)
+}
+
+func (c *Core) policyEnv() policy.Env {
+	e := policy.Env{ReportS: c.report.Seconds(), LeaseS: c.lease.Seconds()}
+	if c.lead != nil {
+		e.BacklogS = c.lead.rent.backlog.Seconds()
+	}
+	return e
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,167 @@
+// Package node wires the core to its sockets and timers.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"yewpass/internal/api"
+	"yewpass/internal/cloud"
+	"yewpass/internal/config"
+	"yewpass/internal/core"
+	"yewpass/internal/peer"
+	"yewpass/internal/policy"
+	"yewpass/internal/state"
+)
+
+// SetupLog sends structured logs to standard error at the level that LOG_LEVEL
+// names.
+func SetupLog() {
+	level := slog.LevelInfo
+	if s := os.Getenv("LOG_LEVEL"); s != "" {
+		if err := level.UnmarshalText([]byte(strings.ToUpper(s))); err != nil {
+			level = slog.LevelInfo
+		}
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+}
+
+// limits makes the runtime keep to the machine. The collector runs rarely while
+// the heap is small, and as often as it must near the limit.
+func limits(cfg *config.Config) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(cfg.Settings.Limits.MemMB * 0.65 * (1 << 20)))
+	debug.SetGCPercent(400)
+}
+
+// Run runs a node until it fails.
+func Run(cfg *config.Config, pol *policy.Policy) error {
+	limits(cfg)
+	clients, err := net.Listen("tcp", cfg.ClientListen)
+	if err != nil {
+		return fmt.Errorf("client_listen: %w", err)
+	}
+	peers, err := net.Listen("tcp", cfg.PeerBind)
+	if err != nil {
+		return fmt.Errorf("peer_bind: %w", err)
+	}
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return err
+	}
+	inbox := make(chan any, 1024)
+	var ready atomic.Bool
+	n := &node{
+		core:    core.New(cfg, pol, binary.LittleEndian.Uint64(seed[:])),
+		state:   state.New(cfg.External.State, inbox),
+		cloud:   cloud.New(cfg.External.Cloud, inbox),
+		mesh:    peer.New(cfg.HostName, cfg.Seeds, peers, inbox),
+		waiting: map[uint64]chan<- any{},
+		refs:    map[chan<- any]uint64{},
+		ready:   &ready,
+	}
+	failed := make(chan error, 1)
+	go func() {
+		// What is left after peers, state, cloud and some spare.
+		conns := max(16, cfg.Settings.Limits.MaxConnections*9/10-32)
+		failed <- api.Serve(clients, conns, inbox, &ready)
+	}()
+	slog.Info("node started", "node", cfg.HostName, "zone", cfg.Site)
+	return n.loop(inbox, failed)
+}
+
+type node struct {
+	core    *core.Core
+	state   *state.Client
+	cloud   *cloud.Client
+	mesh    *peer.Mesh
+	ref     uint64
+	waiting map[uint64]chan<- any // whom to answer
+	refs    map[chan<- any]uint64
+	ready   *atomic.Bool
+}
+
+func (n *node) loop(inbox <-chan any, failed <-chan error) error {
+	timer := time.NewTimer(0)
+	for {
+		var in any
+		select {
+		case in = <-inbox:
+		case <-timer.C:
+			in = core.Tick{}
+		case err := <-failed:
+			return err
+		}
+		switch x := in.(type) {
+		case api.Call:
+			in = n.admit(x)
+		case api.Gone:
+			ref := n.refs[x.Reply]
+			n.forget(ref)
+			in = core.ReportGone{Ref: ref}
+		}
+		now := time.Now()
+		for _, o := range n.core.Step(now, in) {
+			n.do(o)
+		}
+		n.ready.Store(n.core.Ready())
+		timer.Reset(max(time.Until(n.core.Wake()), time.Millisecond))
+	}
+}
+
+// admit gives a request its number.
+func (n *node) admit(c api.Call) any {
+	n.ref++
+	n.waiting[n.ref] = c.Reply
+	n.refs[c.Reply] = n.ref
+	switch in := c.Input.(type) {
+	case core.UserCall:
+		in.Ref = n.ref
+		return in
+	case core.ReportIn:
+		in.Ref = n.ref
+		return in
+	}
+	return core.Tick{}
+}
+
+func (n *node) forget(ref uint64) {
+	if ch := n.waiting[ref]; ch != nil {
+		delete(n.refs, ch)
+		delete(n.waiting, ref)
+	}
+}
+
+func (n *node) answer(ref uint64, a any) {
+	if ch := n.waiting[ref]; ch != nil {
+		n.forget(ref)
+		ch <- a // has room for its one answer
+	}
+}
+
+func (n *node) do(o any) {
+	switch o := o.(type) {
+	case core.AnswerUser:
+		n.answer(o.Ref, o)
+	case core.AnswerReport:
+		n.answer(o.Ref, o)
+	case core.StoreCall:
+		n.state.Do(o)
+	case core.CloudCall:
+		n.cloud.Do(o)
+	case core.PeerSend:
+		n.mesh.Send(o)
+	case core.Note:
+		slog.Log(context.Background(), o.Level, o.Text, o.Attrs...)
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,212 @@
+// Package peer carries messages between controllers: JSON lines over TCP. Each
+// node dials every other one and sends on the connection it dialled; what it
+// receives comes on those that others dialled.
+package peer
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"yewpass/internal/config"
+	"yewpass/internal/core"
+	"yewpass/internal/state"
+)
+
+type messageJSON struct {
+	From   string            `json:"from"`
+	Kind   core.PeerKind     `json:"kind"`
+	Term   uint64            `json:"term,omitempty"`
+	Ref    uint64            `json:"ref,omitempty"`
+	Op     core.UserOp       `json:"op,omitempty"`
+	ID     string            `json:"id,omitempty"`
+	Spec   *state.SpecRecord `json:"spec,omitempty"`
+	Answer *answerJSON       `json:"answer,omitempty"`
+}
+
+type answerJSON struct {
+	Status  int           `json:"status"`
+	RetryMS int64         `json:"retryMs,omitempty"`
+	State   core.JobState `json:"state,omitempty"`
+	Done    int           `json:"done,omitempty"`
+	Running int           `json:"running,omitempty"`
+	Field   string        `json:"field,omitempty"`
+	Reason  string        `json:"reason,omitempty"`
+}
+
+const (
+	kindPing = "ping" // keeps an idle link known to be alive
+
+	maxLine   = 128 << 10
+	pingEvery = 500 * time.Millisecond
+	deadAfter = 2500 * time.Millisecond
+)
+
+// Mesh is the actor that holds the links.
+type Mesh struct {
+	self  string
+	inbox chan<- any
+	out   map[string]chan messageJSON
+}
+
+// New starts links to the seeds and accepts theirs on ln.
+func New(self string, seeds []config.Seed, ln net.Listener, inbox chan<- any) *Mesh {
+	m := &Mesh{self: self, inbox: inbox, out: map[string]chan messageJSON{}}
+	known := map[string]bool{}
+	for _, s := range seeds {
+		known[s.HostName] = true
+		ch := make(chan messageJSON, 1024)
+		m.out[s.HostName] = ch
+		go m.dial(s, ch)
+	}
+	go m.accept(ln, known)
+	return m
+}
+
+// Send queues a message; it is lost when the link is down or its queue full.
+func (m *Mesh) Send(p core.PeerSend) {
+	ch := m.out[p.To]
+	if ch == nil {
+		return
+	}
+	j := messageJSON{From: m.self, Kind: p.Msg.Kind, Term: p.Msg.Term, Ref: p.Msg.Ref, Op: p.Msg.Op, ID: p.Msg.ID}
+	if p.Msg.Spec != nil {
+		s := state.EncodeSpec(p.Msg.Spec)
+		j.Spec = &s
+	}
+	if a := p.Msg.Answer; a != nil {
+		j.Answer = &answerJSON{a.Status, a.RetryAfter.Milliseconds(), a.View.State, a.View.Done, a.View.Running, a.Field, a.Reason}
+	}
+	select {
+	case ch <- j:
+	default:
+	}
+}
+
+// dial keeps a link to one peer.
+func (m *Mesh) dial(s config.Seed, ch chan messageJSON) {
+	for {
+		conn, err := net.DialTimeout("tcp", s.Endpoint, time.Second)
+		if err == nil {
+			m.write(s.HostName, conn, ch)
+			conn.Close()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// write sends what is queued until the link breaks. The other end sends only
+// pings back, which show that it is there.
+func (m *Mesh) write(name string, conn net.Conn, ch chan messageJSON) {
+	for len(ch) > 0 { // left over from a link that has broken
+		<-ch
+	}
+	broken := make(chan struct{})
+	go func() {
+		defer close(broken)
+		buf := make([]byte, 64)
+		for {
+			conn.SetReadDeadline(time.Now().Add(deadAfter))
+			if _, err := conn.Read(buf); err != nil {
+				return
+			}
+		}
+	}()
+	w := bufio.NewWriter(conn)
+	enc := json.NewEncoder(w)
+	up := false
+	defer func() {
+		if up {
+			m.inbox <- core.PeerLink{Name: name}
+		}
+	}()
+	tick := time.NewTicker(pingEvery)
+	defer tick.Stop()
+	msg := messageJSON{From: m.self, Kind: kindPing}
+	for {
+		conn.SetWriteDeadline(time.Now().Add(deadAfter))
+		if enc.Encode(msg) != nil {
+			return
+		}
+		if len(ch) == 0 && w.Flush() != nil {
+			return
+		}
+		if !up {
+			up = true
+			m.inbox <- core.PeerLink{Name: name, Up: true}
+		}
+		select {
+		case msg = <-ch:
+		case <-tick.C:
+			msg = messageJSON{From: m.self, Kind: kindPing}
+		case <-broken:
+			return
+		}
+	}
+}
+
+func (m *Mesh) accept(ln net.Listener, known map[string]bool) {
+	slots := make(chan struct{}, 4*len(known)+4)
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				m.read(conn, known)
+				conn.Close()
+				<-slots
+			}()
+		default:
+			conn.Close()
+		}
+	}
+}
+
+// read takes messages in. Anything that is not one ends the connection.
+func (m *Mesh) read(conn net.Conn, known map[string]bool) {
+	sc := bufio.NewScanner(conn)
+	sc.Buffer(make([]byte, 0, 4<<10), maxLine)
+	for {
+		conn.SetReadDeadline(time.Now().Add(deadAfter))
+		if !sc.Scan() {
+			if err := sc.Err(); err == bufio.ErrTooLong {
+				slog.Warn("garbage on the peer port, connection closed", "remote", conn.RemoteAddr().String(), "reason", err)
+			}
+			return
+		}
+		var j messageJSON
+		err := json.Unmarshal(sc.Bytes(), &j)
+		if err != nil || !known[j.From] {
+			slog.Warn("garbage on the peer port, connection closed", "remote", conn.RemoteAddr().String())
+			return
+		}
+		if j.Kind == kindPing {
+			conn.SetWriteDeadline(time.Now().Add(deadAfter))
+			if _, err := io.WriteString(conn, "\n"); err != nil {
+				return
+			}
+			continue
+		}
+		msg := core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID}
+		if j.Spec != nil {
+			s, ok := j.Spec.Decode()
+			if !ok {
+				slog.Warn("garbage on the peer port, connection closed", "remote", conn.RemoteAddr().String())
+				return
+			}
+			msg.Spec = &s
+		}
+		if a := j.Answer; a != nil {
+			msg.Answer = &core.AnswerUser{Status: a.Status, RetryAfter: time.Duration(a.RetryMS) * time.Millisecond,
+				View: core.JobView{ID: j.ID, State: a.State, Done: a.Done, Running: a.Running}, Field: a.Field, Reason: a.Reason}
+		}
+		m.inbox <- core.PeerIn{From: j.From, Msg: msg}
+	}
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,135 @@
+// Package policy holds the operators' own settings: typed, checked expressions
+// with embedded defaults.
+package policy
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/vm"
+	"github.com/pelletier/go-toml/v2"
+)
+
+//go:embed default.toml
+var defaults []byte
+
+// Env is what an expression may name.
+type Env struct {
+	Class    string  `expr:"class"`
+	Owner    string  `expr:"owner"`
+	Urgency  string  `expr:"urgency"`
+	Dated    bool    `expr:"dated"`
+	LateS    float64 `expr:"late_s"`    // the best timeline's completion minus the deadline
+	BacklogS float64 `expr:"backlog_s"` // waiting work over the CPUs at hand
+	ReportS  float64 `expr:"report_s"`
+	LeaseS   float64 `expr:"lease_s"`
+}
+
+// Policy is a checked set of expressions. It is not for concurrent use.
+type Policy struct {
+	refuse                                         *vm.Program
+	margin, rent, idle, silent, holdIdle, holdBusy *vm.Program
+}
+
+// Load returns the defaults, overridden by the file at path unless it is empty.
+func Load(path string) (*Policy, error) {
+	if path == "" {
+		return Parse(nil)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	p, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+// Parse returns the defaults, overridden by the settings in data.
+func Parse(data []byte) (*Policy, error) {
+	text := map[string]string{}
+	if err := toml.Unmarshal(defaults, &text); err != nil {
+		return nil, err
+	}
+	over := map[string]string{}
+	if err := toml.Unmarshal(data, &over); err != nil {
+		return nil, err
+	}
+	for k, v := range over {
+		if _, ok := text[k]; !ok {
+			return nil, fmt.Errorf("%s: no such setting", k)
+		}
+		text[k] = v
+	}
+	p := &Policy{}
+	progs := map[string]**vm.Program{
+		"refuse": &p.refuse, "margin": &p.margin, "rent_backlog_s": &p.rent, "idle_return_s": &p.idle,
+		"silent_release_s": &p.silent, "hold_idle_s": &p.holdIdle, "hold_busy_s": &p.holdBusy,
+	}
+	names := make([]string, 0, len(progs))
+	for name := range progs {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		kind := expr.AsFloat64()
+		if name == "refuse" {
+			kind = expr.AsBool()
+		}
+		prog, err := expr.Compile(text[name], expr.Env(Env{}), kind)
+		if err != nil {
+			first, _, _ := strings.Cut(err.Error(), "\n")
+			return nil, fmt.Errorf("%s: %s", name, first)
+		}
+		*progs[name] = prog
+	}
+	// What passes the checker can still fail when run (an index out of range,
+	// say): try each once, so that a bad policy ends the start, not a decision.
+	for _, name := range names {
+		if _, err := expr.Run(*progs[name], Env{}); err != nil {
+			first, _, _ := strings.Cut(err.Error(), "\n")
+			return nil, fmt.Errorf("%s: %s", name, first)
+		}
+	}
+	return p, nil
+}
+
+func number(prog *vm.Program, e Env) float64 {
+	v, err := expr.Run(prog, e)
+	if err != nil {
+		return 0
+	}
+	f, _ := v.(float64)
+	return max(f, 0)
+}
+
+// Refuse says whether to refuse a submission for now.
+func (p *Policy) Refuse(e Env) bool {
+	v, err := expr.Run(p.refuse, e)
+	b, _ := v.(bool)
+	return err == nil && b
+}
+
+// Margin is the part added to an estimate.
+func (p *Policy) Margin(e Env) float64 { return number(p.margin, e) }
+
+// RentBacklog is the backlog in seconds above which machines are rented.
+func (p *Policy) RentBacklog(e Env) float64 { return number(p.rent, e) }
+
+// IdleReturn is the idle time in seconds after which a machine is returned.
+func (p *Policy) IdleReturn(e Env) float64 { return number(p.idle, e) }
+
+// SilentRelease is the silence in seconds after which a machine is released.
+func (p *Policy) SilentRelease(e Env) float64 { return number(p.silent, e) }
+
+// HoldIdle and HoldBusy are how long a report's reply is held, in seconds.
+func (p *Policy) HoldIdle(e Env) float64 { return number(p.holdIdle, e) }
+
+// HoldBusy is HoldIdle for a machine that runs tasks.
+func (p *Policy) HoldBusy(e Env) float64 { return number(p.holdBusy, e) }
--- /dev/null
+++ b/internal/state/client.go
@@ -0,0 +1,360 @@
+// Package state speaks the protocol of the state service.
+package state
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+// Client is the actor that calls the state service: each call runs in its own
+// goroutine and its reply goes to the core's inbox. The core bounds how many
+// are on their way.
+type Client struct {
+	base  string
+	http  *http.Client
+	inbox chan<- any
+}
+
+// New returns a client of the service at addr that delivers to inbox.
+func New(addr string, inbox chan<- any) *Client {
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+			ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, DisableCompression: true,
+		}},
+		inbox: inbox,
+	}
+}
+
+// Do makes the call and delivers its reply.
+func (c *Client) Do(call core.StoreCall) {
+	go func() {
+		r := c.call(call)
+		r.Ref = call.Ref
+		c.inbox <- r
+	}()
+}
+
+type entryJSON struct {
+	K      string          `json:"k"`
+	V      json.RawMessage `json:"v,omitempty"`
+	KeyRev uint64          `json:"keyRev"`
+}
+
+type condJSON struct {
+	K      string `json:"k"`
+	KeyRev uint64 `json:"keyRev"`
+}
+
+type writeJSON struct {
+	Write string `json:"write,omitempty"`
+	V     any    `json:"v,omitempty"`
+	Grant uint64 `json:"grant,omitempty"`
+	Drop  string `json:"drop,omitempty"`
+}
+
+type txnJSON struct {
+	When []condJSON  `json:"when"`
+	Then []writeJSON `json:"then"`
+}
+
+type ttlJSON struct {
+	TTLMS int64 `json:"ttlMs"`
+}
+
+// answerJSON is the union of the service's answers. Pointers tell what is
+// missing, because an answer without what it must hold is no success.
+type answerJSON struct {
+	entryJSON
+	StoreRev  *uint64     `json:"storeRev"`
+	Grant     *uint64     `json:"grant"`
+	Failed    []string    `json:"failed"`
+	Entries   []entryJSON `json:"entries"`
+	Truncated bool        `json:"truncated"`
+}
+
+// maxAnswer bounds what is read of an answer; a listing has at most 512 KiB of
+// items.
+const maxAnswer = 2 << 20
+
+func (c *Client) call(call core.StoreCall) core.StoreReply {
+	var method, path string
+	var body any
+	switch call.Op {
+	case core.StoreGet:
+		method, path = http.MethodGet, "/store/"+call.Key
+	case core.StoreList:
+		q := url.Values{"under": {call.Key}, "limit": {strconv.Itoa(call.Limit)}}
+		if call.From != "" {
+			q.Set("from", call.From)
+		}
+		method, path = http.MethodGet, "/store?"+q.Encode()
+	case core.StoreFollow:
+		q := url.Values{"under": {call.Key}, "from": {strconv.FormatUint(call.FromRev, 10)},
+			"blockMs": {strconv.FormatInt(call.Wait.Milliseconds(), 10)}}
+		method, path = http.MethodGet, "/follow?"+q.Encode()
+	case core.StoreTxn:
+		method, path, body = http.MethodPost, "/multi", encodeTxn(call)
+	case core.StoreGrant:
+		method, path, body = http.MethodPost, "/grants", ttlJSON{call.TTL.Milliseconds()}
+	case core.StoreExtend:
+		method, path, body = http.MethodPost, fmt.Sprintf("/grants/%d/extend", call.Grant), ttlJSON{call.TTL.Milliseconds()}
+	case core.StoreDropGrant:
+		method, path = http.MethodDelete, fmt.Sprintf("/grants/%d", call.Grant)
+	}
+	status, data, ok := c.roundTrip(method, path, body, call.Within)
+	if !ok {
+		return core.StoreReply{Outcome: core.Unknown}
+	}
+	return decode(call.Op, status, data)
+}
+
+func (c *Client) roundTrip(method, path string, body any, within time.Duration) (int, []byte, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	var rd io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil, false
+		}
+		rd = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return 0, nil, false
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil || len(data) > maxAnswer {
+		return 0, nil, false
+	}
+	return resp.StatusCode, data, true
+}
+
+func decode(op core.StoreOp, status int, data []byte) core.StoreReply {
+	switch status {
+	case http.StatusOK:
+	case http.StatusConflict:
+		var a answerJSON
+		if op == core.StoreTxn && json.Unmarshal(data, &a) == nil && len(a.Failed) > 0 {
+			return core.StoreReply{Outcome: core.Conflict, Failed: a.Failed}
+		}
+		return core.StoreReply{Outcome: core.Unknown}
+	case http.StatusNotFound, http.StatusGone:
+		return core.StoreReply{Outcome: core.Missing}
+	case http.StatusBadRequest:
+		return core.StoreReply{Outcome: core.Invalid}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return core.StoreReply{Outcome: core.Refused}
+	default:
+		return core.StoreReply{Outcome: core.Unknown}
+	}
+	if op == core.StoreExtend || op == core.StoreDropGrant {
+		return core.StoreReply{Outcome: core.OK}
+	}
+	var a answerJSON
+	unknown := core.StoreReply{Outcome: core.Unknown}
+	if json.Unmarshal(data, &a) != nil {
+		return unknown
+	}
+	r := core.StoreReply{Outcome: core.OK, More: a.Truncated}
+	if a.StoreRev != nil {
+		r.Rev = *a.StoreRev
+	}
+	switch op {
+	case core.StoreGet:
+		if a.K == "" || a.KeyRev == 0 {
+			return unknown
+		}
+		r.Entries = []core.Entry{decodeEntry(a.entryJSON)}
+	case core.StoreList:
+		if a.Entries == nil && a.StoreRev == nil {
+			return unknown
+		}
+		for _, e := range a.Entries {
+			r.Entries = append(r.Entries, decodeEntry(e))
+		}
+	case core.StoreGrant:
+		if a.Grant == nil {
+			return unknown
+		}
+		r.Grant = *a.Grant
+	case core.StoreTxn, core.StoreFollow:
+		if a.StoreRev == nil {
+			return unknown
+		}
+	}
+	return r
+}
+
+func encodeTxn(call core.StoreCall) txnJSON {
+	t := txnJSON{When: make([]condJSON, 0, len(call.When)), Then: make([]writeJSON, 0, len(call.Then))}
+	for _, w := range call.When {
+		t.When = append(t.When, condJSON{w.Key, w.Rev})
+	}
+	for _, w := range call.Then {
+		if w.Value == nil {
+			t.Then = append(t.Then, writeJSON{Drop: w.Key})
+		} else {
+			t.Then = append(t.Then, writeJSON{Write: w.Key, V: encodeValue(w.Value), Grant: w.Grant})
+		}
+	}
+	return t
+}
+
+// Values carry a tag, so that a reader knows a record without its key.
+
+type jobJSON struct {
+	Type      string     `json:"type"` // "job"
+	Spec      SpecRecord `json:"spec"`
+	Submitted int64      `json:"submittedMs"`
+	Cancelled bool       `json:"cancelled,omitempty"`
+}
+
+type finalJSON struct {
+	Type  string        `json:"type"` // "final"
+	State core.JobState `json:"state"`
+	Done  int           `json:"done"`
+}
+
+type progressJSON struct {
+	Type   string `json:"type"` // "progress"
+	Ranges string `json:"ranges"`
+}
+
+type machineJSON struct {
+	Type        string `json:"type"` // "machine"
+	Flavor      string `json:"flavor"`
+	Zone        string `json:"zone"`
+	Reclaimable bool   `json:"reclaimable,omitempty"`
+}
+
+type leaderJSON struct {
+	Type string `json:"type"` // "leader" or "term"
+	Node string `json:"node,omitempty"`
+	Term uint64 `json:"term"`
+}
+
+// SpecRecord is a job's description as records and peers carry it.
+type SpecRecord struct {
+	ID              string       `json:"id"`
+	Class           string       `json:"class"`
+	Owner           string       `json:"owner"`
+	Service         bool         `json:"service,omitempty"`
+	Urgency         core.Urgency `json:"urgency"`
+	Tasks           int          `json:"tasks"`
+	CPUs            float64      `json:"cpus,omitempty"`
+	GPUs            float64      `json:"gpus,omitempty"`
+	MemGB           float64      `json:"memGb,omitempty"`
+	Image           string       `json:"image,omitempty"`
+	ImageGB         float64      `json:"imageGb,omitempty"`
+	Flavors         []string     `json:"flavors,omitempty"`
+	Zone            string       `json:"zone,omitempty"`
+	SamePlace       bool         `json:"samePlace,omitempty"`
+	Apart           bool         `json:"apart,omitempty"`
+	Reclaimable     bool         `json:"reclaimable,omitempty"`
+	RuntimeMS       int64        `json:"runtimeMs,omitempty"`
+	SnapshotEveryMS int64        `json:"snapshotEveryMs,omitempty"`
+	SnapshotMS      int64        `json:"snapshotMs,omitempty"`
+	DueMS           int64        `json:"dueMs,omitempty"`
+	Dated           bool         `json:"dated,omitempty"`
+}
+
+// EncodeSpec turns a description into its record.
+func EncodeSpec(s *core.JobSpec) SpecRecord {
+	return SpecRecord{s.ID, s.Class, s.Owner, s.Service, s.Urgency, s.Tasks, s.CPUs, s.GPUs, s.MemGB, s.Image, s.ImageGB,
+		s.Flavors, s.Zone, s.SamePlace, s.Apart, s.Reclaimable, s.Runtime.Milliseconds(), s.SnapshotEvery.Milliseconds(),
+		s.Snapshot.Milliseconds(), s.Due.Milliseconds(), s.Dated}
+}
+
+// Decode turns a record into the description; false if it cannot be one.
+func (r SpecRecord) Decode() (core.JobSpec, bool) {
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	ok := r.ID != "" && r.Tasks > 0 && r.Tasks <= core.MaxTasks && r.Urgency >= core.Idle && r.Urgency <= core.Production
+	return core.JobSpec{ID: r.ID, Class: r.Class, Owner: r.Owner, Service: r.Service, Urgency: r.Urgency, Tasks: r.Tasks,
+		CPUs: r.CPUs, GPUs: r.GPUs, MemGB: r.MemGB, Image: r.Image, ImageGB: r.ImageGB, Flavors: r.Flavors, Zone: r.Zone,
+		SamePlace: r.SamePlace, Apart: r.Apart, Reclaimable: r.Reclaimable, Runtime: ms(r.RuntimeMS),
+		SnapshotEvery: ms(r.SnapshotEveryMS), Snapshot: ms(r.SnapshotMS), Due: ms(r.DueMS), Dated: r.Dated}, ok
+}
+
+func encodeValue(v any) any {
+	switch v := v.(type) {
+	case *core.JobRecord:
+		return jobJSON{"job", EncodeSpec(&v.Spec), v.Submitted.UnixMilli(), v.Cancelled}
+	case *core.FinalRecord:
+		return finalJSON{"final", v.State, v.Done}
+	case *core.ProgressRecord:
+		return progressJSON{"progress", v.Ranges}
+	case *core.MachineRecord:
+		return machineJSON{"machine", v.Flavor, v.Zone, v.Reclaimable}
+	case *core.LeaderRecord:
+		return leaderJSON{"leader", v.Node, v.Term}
+	case *core.TermRecord:
+		return leaderJSON{"term", "", v.Term}
+	}
+	return nil
+}
+
+// decodeEntry reads a record; its value is nil when it is not one of ours.
+func decodeEntry(e entryJSON) core.Entry {
+	out := core.Entry{Key: e.K, Rev: e.KeyRev}
+	var tag struct {
+		Type string `json:"type"`
+	}
+	if json.Unmarshal(e.V, &tag) != nil {
+		return out
+	}
+	switch tag.Type {
+	case "job":
+		var j jobJSON
+		if json.Unmarshal(e.V, &j) == nil {
+			if s, ok := j.Spec.Decode(); ok && strings.HasSuffix(e.K, "/"+s.ID) {
+				out.Value = &core.JobRecord{Spec: s, Submitted: time.UnixMilli(j.Submitted), Cancelled: j.Cancelled}
+			}
+		}
+	case "final":
+		var f finalJSON
+		if json.Unmarshal(e.V, &f) == nil && (f.State == core.Done || f.State == core.Cancelled) {
+			out.Value = &core.FinalRecord{State: f.State, Done: f.Done}
+		}
+	case "progress":
+		var p progressJSON
+		if json.Unmarshal(e.V, &p) == nil {
+			out.Value = &core.ProgressRecord{Ranges: p.Ranges}
+		}
+	case "machine":
+		var m machineJSON
+		if json.Unmarshal(e.V, &m) == nil {
+			out.Value = &core.MachineRecord{Flavor: m.Flavor, Zone: m.Zone, Reclaimable: m.Reclaimable}
+		}
+	case "leader":
+		var l leaderJSON
+		if json.Unmarshal(e.V, &l) == nil && l.Node != "" {
+			out.Value = &core.LeaderRecord{Node: l.Node, Term: l.Term}
+		}
+	case "term":
+		var l leaderJSON
+		if json.Unmarshal(e.V, &l) == nil {
+			out.Value = &core.TermRecord{Term: l.Term}
+		}
+	}
+	return out
+}
