--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -81,35 +81,11 @@
 const listLimit = "500"
 
 func (c *Client) call(call core.CloudCall) core.CloudReply {
-	var method, path string
-	var body any
-	switch call.Op {
-	case core.CloudCatalog:
-		method, path = http.MethodGet, "/catalog"
-	case core.CloudRent:
-		method, path = http.MethodPost, "/machines"
-		body = rentJSON{call.Rental, call.Flavor, call.Zone, call.Reclaimable, call.Count}
-	case core.CloudRelease:
-		method, path, body = http.MethodPost, "/machines/release", hostsJSON{call.Hosts}
-	case core.CloudList:
-		q := url.Values{"limit": {listLimit}}
-		if call.After != "" {
-			q.Set("from", call.After)
-		}
-		method, path = http.MethodGet, "/machines?"+q.Encode()
-	}
 	unknown := core.CloudReply{Outcome: core.Unknown}
+	method, path, body := Request(call)
 	ctx, cancel := context.WithTimeout(context.Background(), call.Within)
 	defer cancel()
-	var rd io.Reader
-	if body != nil {
-		data, err := json.Marshal(body)
-		if err != nil {
-			return unknown
-		}
-		rd = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return unknown
 	}
@@ -122,10 +98,36 @@
 	if err != nil {
 		return unknown
 	}
-	return decode(call, resp.StatusCode, data)
+	return Decode(call, resp.StatusCode, data)
+}
+
+// Request writes a call as the cloud's protocol has it.
+func Request(call core.CloudCall) (method, path string, body []byte) {
+	var v any
+	switch call.Op {
+	case core.CloudCatalog:
+		method, path = http.MethodGet, "/catalog"
+	case core.CloudRent:
+		method, path = http.MethodPost, "/machines"
+		v = rentJSON{call.Rental, call.Flavor, call.Zone, call.Reclaimable, call.Count}
+	case core.CloudRelease:
+		method, path, v = http.MethodPost, "/machines/release", hostsJSON{call.Hosts}
+	case core.CloudList:
+		q := url.Values{"limit": {listLimit}}
+		if call.After != "" {
+			q.Set("from", call.After)
+		}
+		method, path = http.MethodGet, "/machines?"+q.Encode()
+	}
+	if v != nil {
+		body, _ = json.Marshal(v) // plain structs of ours: cannot fail
+	}
+	return method, path, body
 }
 
-func decode(call core.CloudCall, status int, data []byte) core.CloudReply {
+// Decode reads an answer. Whatever is not what the protocol promises is an
+// unknown outcome.
+func Decode(call core.CloudCall, status int, data []byte) core.CloudReply {
 	unknown := core.CloudReply{Outcome: core.Unknown}
 	switch status {
 	case http.StatusOK:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -212,3 +212,6 @@
 	}
 	return c.hint != "" && (c.links[c.hint] || c.stateUp)
 }
+
+// Leads reports whether the node leads and has authority at the given time.
+func (c *Core) Leads(now time.Time) bool { return c.lead != nil && now.Before(c.lead.until) }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -40,7 +40,7 @@
 	margin             float64
 }
 
-func (c *Core) leads() bool { return c.lead != nil && c.now.Before(c.lead.until) }
+func (c *Core) leads() bool { return c.Leads(c.now) }
 
 // acts reports whether we lead, in authority, and know the records.
 func (c *Core) acts() bool { return c.leads() && c.lead.loaded }
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,125 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var verbose = flag.Bool("trace", false, "print what the controllers log")
+
+func play(t *testing.T, text string) Result {
+	t.Helper()
+	var trace func(string)
+	if *verbose {
+		trace = func(s string) { t.Log(s) }
+	}
+	res, err := Run(text, trace)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range res.Violations {
+		t.Errorf("rule broken at %s", v)
+	}
+	for _, e := range res.Unmet {
+		t.Errorf("expected %s", e)
+	}
+	t.Logf("%d tasks started, %d requests to the state service", res.Started, res.Requests)
+	return res
+}
+
+// TestScenarios plays every file in testdata.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			play(t, string(data))
+		})
+	}
+}
+
+const fleet = `
+seed %d
+team t max=60
+team u cpus=30
+type s cpus=8 mem=64 rate=0.4 low=0.1 ready=15s fetch=0.6
+type w cpus=32 mem=64 rate=1.2 low=0.3 ready=20s fetch=0.5
+capacity s a n=3 spot=4
+capacity s b n=2 spot=4
+capacity w b n=1 spot=2
+machines s a n=2
+objective wait urgent within=1s
+at 1s burst 6 gap=0s tasks=9 run=15s due=90s vary=0.3
+at 4s burst 40 gap=3s class=urgent urgency=urgent tasks=4 run=10s due=45s image=i2 vary=0.4 cancelled=0.15
+at 6s burst 14 gap=8s owner=u tasks=14 run=25s cpus=2 urgency=idle every=10s save=3s image=i3 vary=0.3 cancelled=0.1
+at 8s burst 5 gap=20s tasks=5 run=20s apart ordinary
+at 9s burst 5 gap=20s tasks=6 run=20s samePlace owner=u
+at 10s submit wk-7 service tasks=2 owner=u
+at 150s cancel wk-7
+`
+
+// TestRandomFaults plays mixes of faults drawn from fixed seeds. Whatever comes,
+// no rule may break, and once all is well again every job is done.
+func TestRandomFaults(t *testing.T) {
+	kinds := []string{
+		"crash leader", "crash all", "crash n1 back=3s", "roll 6s", "outage state 8s", "outage state 30s", "outage cloud 20s",
+		"deny leader 9s", "cut leader 12s hold", "cut leader 12s reset", "cut leader 9s hold only=state", "cut leader 15s hold only=n0,n1,n2",
+		"cut 2 30s hold", "cut 2 40s reset", "cut 1 8s hold", "cut zone=a 25s hold", "cut zone=b 40s reset", "hang 1 15s", "hang 2 45s",
+		"sick 1 60s", "slow 1 factor=3", "take 3 notice=12s", "take 4", "boots never", "boots 300",
+		"crash leader back=2s", "cut follower 10s hold only=state", "hang 3 19s", "crash all back=4s",
+	}
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 5))
+			var sb strings.Builder
+			fmt.Fprintf(&sb, fleet, seed)
+			for range 3 + rng.IntN(6) {
+				at := 10 + rng.IntN(150)
+				fmt.Fprintf(&sb, "at %ds %s\n", at, kinds[rng.IntN(len(kinds))])
+				if rng.IntN(2) == 0 { // and something else right on top of it
+					fmt.Fprintf(&sb, "at %d.%03ds %s\n", at, rng.IntN(1000), kinds[rng.IntN(len(kinds))])
+				}
+			}
+			sb.WriteString("run 700s\nexpect done all\nexpect cancelled wk-7\nexpect leaders =1\n")
+			if testing.Verbose() {
+				t.Log(sb.String())
+			}
+			play(t, sb.String())
+		})
+	}
+}
+
+// TestPlanted breaks each rule on purpose: a checker that cannot fail is none.
+func TestPlanted(t *testing.T) {
+	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented", "not_done", "went_back", "nothing_ran"} {
+		t.Run(rule, func(t *testing.T) {
+			res, err := Run(`
+seed 1
+team t max=20
+type s cpus=8 mem=64 ready=5s fetch=0.5
+capacity s a n=4 spot=4
+machines s a n=3
+at 1s submit wk-1 tasks=12 run=30s
+at 20s plant `+rule+`
+expect rule `+rule+`
+run 22s
+`, nil)
+			if err != nil || len(res.Unmet) > 0 {
+				t.Errorf("the checker does not see it: %v %v", res, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scenario/script.go
@@ -0,0 +1,522 @@
+package scenario
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"yewpass/internal/config"
+	"yewpass/internal/core"
+)
+
+// Result is how a scenario went.
+type Result struct {
+	Violations []string // broken rules
+	Unmet      []string // expectations that do not hold
+	Started    int      // tasks started
+	Requests   int      // to the state service
+}
+
+// Run plays a scenario. Lines that operators would log go to trace unless it is
+// nil.
+func Run(text string, trace func(string)) (Result, error) {
+	s := &script{world: newWorld(), trace: trace}
+	sc := bufio.NewScanner(strings.NewReader(text))
+	for n := 1; sc.Scan(); n++ {
+		line, _, _ := strings.Cut(sc.Text(), "#")
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		if err := s.line(strings.Fields(line)); err != nil {
+			return Result{}, fmt.Errorf("line %d: %w", n, err)
+		}
+	}
+	return s.play()
+}
+
+type script struct {
+	*world
+	trace   func(string)
+	seed    uint64
+	actions []action
+	expects []expect
+	end     time.Duration
+	burst   int
+}
+
+type action struct {
+	at   time.Duration
+	what []string
+}
+
+type expect struct {
+	what []string
+	met  bool
+	seen bool
+}
+
+func newWorld() *world {
+	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, broken: map[string]bool{}}
+	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
+	w.store = &store{clock: w.clock, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, refilled: w.now}
+	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
+	w.cloud.boots = func() (time.Duration, bool) { return time.Duration(60 + w.rng.IntN(90)), true }
+	s := &w.cfg.Settings
+	s.Nodes, s.Zones = 3, []string{"a", "b"}
+	s.Workers = config.Workers{Report: 3, Lease: 20, Cancel: 40}
+	s.State = config.State{RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 48}
+	s.Cloud = config.Cloud{RPS: 6, ListLag: 3}
+	s.Limits = config.Limits{CPUShare: 0.1, MemMB: 100, MaxConnections: 800}
+	return w
+}
+
+// args reads k=v words; words without = map to themselves.
+func args(words []string) map[string]string {
+	m := map[string]string{}
+	for _, w := range words {
+		k, v, ok := strings.Cut(w, "=")
+		if !ok {
+			v = "yes"
+		}
+		m[k] = v
+	}
+	return m
+}
+
+func num(m map[string]string, k string, otherwise float64) float64 {
+	if v, ok := m[k]; ok {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			panic(fmt.Sprintf("%s=%s is no number", k, v))
+		}
+		return f
+	}
+	return otherwise
+}
+
+func dur(m map[string]string, k string, otherwise time.Duration) time.Duration {
+	if v, ok := m[k]; ok {
+		return span(v)
+	}
+	return otherwise
+}
+
+func span(v string) time.Duration {
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		panic(v + " is no duration")
+	}
+	return d
+}
+
+func (s *script) line(f []string) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%v", p)
+		}
+	}()
+	a := args(f[1:])
+	cs := &s.cfg.Settings
+	switch f[0] {
+	case "seed":
+		s.seed, err = strconv.ParseUint(f[1], 10, 64)
+	case "nodes":
+		cs.Nodes, err = strconv.Atoi(f[1])
+	case "workers":
+		cs.Workers = config.Workers{Report: config.Seconds(dur(a, "report", 3*time.Second).Seconds()),
+			Lease: config.Seconds(dur(a, "lease", 20*time.Second).Seconds()), Cancel: config.Seconds(dur(a, "cancel", 40*time.Second).Seconds())}
+	case "state":
+		cs.State = config.State{RPS: num(a, "rps", 250), WriteRPS: num(a, "write_rps", 100), ValueKB: num(a, "value_kb", 16), TxnOps: int(num(a, "txn_ops", 48))}
+	case "team":
+		cs.Teams = append(cs.Teams, config.Team{Name: f[1], CPUs: num(a, "cpus", 0), CPUsMax: num(a, "max", 0), GPUs: num(a, "gpus", 0), GPUsMax: num(a, "gpus_max", 0)})
+	case "objective":
+		a = args(f[3:])
+		cs.Objectives = append(cs.Objectives, config.Objective{Kind: f[1], Class: f[2], Within: config.Seconds(dur(a, "within", 0).Seconds()), Share: 0.9, Times: 1})
+	case "type":
+		s.cloud.flavors = append(s.cloud.flavors, &flavorDef{name: f[1], cpus: num(a, "cpus", 8), gpus: num(a, "gpus", 0), mem: num(a, "mem", 64),
+			rate: num(a, "rate", 1), low: num(a, "low", 0.3), ready: dur(a, "ready", 20*time.Second), fetch: num(a, "fetch", 0.5)})
+	case "capacity":
+		k := kindKey{f[1], f[2], false}
+		s.cloud.capacity[k] = int(num(a, "n", 0))
+		k.reclaimable = true
+		s.cloud.capacity[k] = int(num(a, "spot", 0))
+		if fl := s.cloud.flavor(f[1]); !slices.Contains(fl.zones, f[2]) {
+			fl.zones = append(fl.zones, f[2])
+		}
+	case "machines":
+		s.actions = append(s.actions, action{0, f})
+	case "policy":
+		s.rules = append(s.rules, []byte(strings.Join(f[1:], " ")+"\n")...)
+	case "run":
+		s.end = span(f[1])
+	case "at":
+		s.actions = append(s.actions, action{span(f[1]), f[2:]})
+	case "expect":
+		s.expects = append(s.expects, expect{what: f[1:]})
+	default:
+		err = fmt.Errorf("unknown word %s", f[0])
+	}
+	return err
+}
+
+func (s *script) play() (res Result, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			if text, ok := p.(string); ok {
+				err = fmt.Errorf("%s", text)
+				return
+			}
+			panic(p)
+		}
+	}()
+	w := s.world
+	w.clock.rng = newClock(s.seed).rng
+	w.adoptSettings(s.trace)
+	for _, a := range s.actions {
+		w.at(w.start.Add(a.at), func() { s.act(a.what) })
+	}
+	for i := range w.cfg.Settings.Nodes {
+		n := &node{world: w, name: fmt.Sprintf("n%d", i), skew: time.Duration(w.rng.IntN(10)-5) * time.Millisecond, drift: 0.0005 * w.rng.Float64()}
+		w.nodes = append(w.nodes, n)
+	}
+	for _, n := range w.nodes {
+		w.after(time.Duration(w.rng.IntN(50))*time.Millisecond, n.boot)
+	}
+	w.after(time.Second, w.askUnknown)
+	for i := range s.expects {
+		e := &s.expects[i]
+		if k := slices.Index(e.what, "by"); k >= 0 {
+			w.at(w.start.Add(span(e.what[k+1])), func() { e.seen, e.met = true, s.holds(e.what[:k]) })
+		}
+	}
+	w.run(s.end)
+	for _, e := range s.expects {
+		if !e.seen {
+			e.met = s.holds(e.what)
+		}
+		if !e.met {
+			res.Unmet = append(res.Unmet, strings.Join(e.what, " "))
+		}
+	}
+	if i := slices.IndexFunc(s.expects, func(e expect) bool { return e.what[0] == "rule" }); i >= 0 {
+		// A planted violation: it must be caught, so it is not reported.
+		rule := s.expects[i].what[1]
+		w.violations = slices.DeleteFunc(w.violations, func(v string) bool { return strings.Contains(v, " "+rule+":") })
+	}
+	res.Violations, res.Started, res.Requests = w.violations, w.started, w.store.requests
+	return res, nil
+}
+
+// adoptSettings takes over what the settings say.
+func (w *world) adoptSettings(trace func(string)) {
+	st, wk := w.cfg.Settings.State, w.cfg.Settings.Workers
+	w.trace = trace
+	w.store.rps, w.store.writeRPS, w.store.valueKB, w.store.txnOps = st.RPS, st.WriteRPS, st.ValueKB, st.TxnOps
+	w.reportEvery, w.lease, w.cancelWithin = wk.Report.Duration(), wk.Lease.Duration(), wk.Cancel.Duration()
+}
+
+// holds reports whether an expectation holds now.
+func (s *script) holds(e []string) bool {
+	switch e[0] {
+	case "done", "cancelled":
+		for _, j := range s.order {
+			if (e[1] == "all" && j.status < 400 && !j.wants && !j.spec.Service && !j.faulty || e[1] == j.spec.ID) && string(j.told) != e[0] {
+				return false
+			}
+		}
+		return e[1] == "all" || s.jobs[e[1]] != nil
+	case "finished": // the tasks are done, whether or not the user has asked
+		j := s.jobs[e[1]]
+		return j != nil && !j.finished.IsZero()
+	case "rejected":
+		return s.jobs[e[1]] != nil && strconv.Itoa(s.jobs[e[1]].status) == e[2]
+	case "accepted":
+		return s.jobs[e[1]] != nil && s.jobs[e[1]].accepted
+	case "pending": // a submission without a final answer
+		return s.jobs[e[1]] != nil && !s.jobs[e[1]].accepted && s.jobs[e[1]].status == 0
+	case "rule":
+		return s.broken[e[1]]
+	case "running", "on": // number of tasks of a job on machines, or of machines in use
+		n := 0
+		for _, m := range s.cloud.machines {
+			for _, t := range m.tasks {
+				if t.on() && t.id.Job == e[1] {
+					n++
+				}
+			}
+		}
+		return compare(n, e[2])
+	case "machines":
+		n := 0
+		for _, m := range s.cloud.machines {
+			if m.gone.IsZero() && (len(e) < 3 || m.flavor.name == e[2]) {
+				n++
+			}
+		}
+		return compare(n, e[1])
+	case "started":
+		return compare(s.started, e[1])
+	case "leaders":
+		n := 0
+		for _, x := range s.nodes {
+			if x.alive && x.core.Leads(x.local()) {
+				n++
+			}
+		}
+		return compare(n, e[1])
+	}
+	panic("unknown expectation " + e[0])
+}
+
+// compare reads =3, <3, >3 or 3.
+func compare(n int, s string) bool {
+	op, num := s[0], strings.TrimLeft(s, "<>=")
+	x, err := strconv.Atoi(num)
+	if err != nil {
+		panic(s + " is no number")
+	}
+	switch op {
+	case '<':
+		return n < x
+	case '>':
+		return n > x
+	}
+	return n == x
+}
+
+// job reads a job's description.
+func (s *script) job(id string, a map[string]string) *userJob {
+	run := dur(a, "run", 20*time.Second)
+	j := &userJob{runs: run, faulty: a["faulty"] != "", done: map[int]bool{}, progress: map[int]time.Duration{}}
+	sp := &j.spec
+	*sp = core.JobSpec{ID: id, Class: a["class"], Owner: "t", Service: a["service"] != "", Urgency: core.Standard, Tasks: int(num(a, "tasks", 1)),
+		CPUs: num(a, "cpus", 1), GPUs: num(a, "gpus", 0), MemGB: num(a, "mem", 1), Image: "img", ImageGB: num(a, "gb", 1), Reclaimable: a["ordinary"] == "",
+		SamePlace: a["samePlace"] != "", Apart: a["apart"] != "", Zone: a["zone"], Runtime: dur(a, "est", run),
+		SnapshotEvery: dur(a, "every", 0), Snapshot: dur(a, "save", 0)}
+	if sp.Class == "" {
+		sp.Class = "c"
+	}
+	if v := a["owner"]; v != "" {
+		sp.Owner = v
+	}
+	if v := a["image"]; v != "" {
+		sp.Image = v
+	}
+	if v := a["types"]; v != "" {
+		sp.Flavors = strings.Split(v, ",")
+	}
+	if v := a["urgency"]; v != "" {
+		sp.Urgency = core.Urgency(slices.Index(core.UrgencyNames[:], v))
+	}
+	if _, ok := a["due"]; ok {
+		sp.Due, sp.Dated = dur(a, "due", 0), true
+	}
+	if sp.Service {
+		sp.Runtime = 0
+	}
+	return j
+}
+
+// node returns the node that a word names, or nil.
+func (s *script) node(word string) *node {
+	for _, n := range s.nodes {
+		leads := n.alive && n.core.Leads(n.local())
+		if n.name == word || word == "leader" && leads || word == "follower" && n.alive && !leads {
+			return n
+		}
+	}
+	return nil
+}
+
+// busiest returns the n machines up that hold the most tasks.
+func (s *script) busiest(n int) []*worker {
+	var ms []*worker
+	for _, m := range s.cloud.machines {
+		if m.gone.IsZero() && !m.up.IsZero() {
+			ms = append(ms, m)
+		}
+	}
+	slices.SortStableFunc(ms, func(a, b *worker) int { return len(b.tasks) - len(a.tasks) })
+	return ms[:min(n, len(ms))]
+}
+
+func (s *script) act(f []string) {
+	w := s.world
+	switch f[0] {
+	case "machines":
+		a := args(f[3:])
+		for range int(num(a, "n", 1)) {
+			s.cloud.create(kindKey{f[1], f[2], a["spot"] != ""}, 0)
+		}
+	case "submit":
+		w.submit(s.job(f[1], args(f[2:])))
+	case "burst": // burst N every=D k=v...: jobs one after the other
+		n, _ := strconv.Atoi(f[1])
+		a := args(f[2:])
+		for i := range n {
+			s.burst++
+			id := fmt.Sprintf("wk-1%05d", s.burst)
+			w.after(time.Duration(i)*dur(a, "gap", time.Second), func() {
+				b := args(f[2:])
+				if p := num(a, "vary", 0); p > 0 { // run times and estimates apart
+					b["est"] = b["run"]
+					b["run"] = time.Duration(float64(span(a["run"])) * math.Exp(p*w.rng.NormFloat64())).String()
+				}
+				j := s.job(id, b)
+				w.submit(j)
+				if w.rng.Float64() < num(a, "cancelled", 0) {
+					w.after(time.Duration(w.rng.IntN(30))*time.Second+5*time.Second, func() { w.cancel(j) })
+				}
+			})
+		}
+	case "cancel":
+		w.cancel(w.jobs[f[1]])
+	case "crash":
+		back := dur(args(f[2:]), "back", 8*time.Second)
+		for _, n := range w.nodes {
+			if f[1] == "all" || n == s.node(f[1]) {
+				n.crash(back)
+				if f[1] != "all" {
+					break
+				}
+			}
+		}
+	case "roll":
+		for i, n := range w.nodes {
+			w.after(time.Duration(i)*span(f[1]), func() { n.crash(3 * time.Second) })
+		}
+	case "outage":
+		switch f[1] {
+		case "state":
+			w.store.outage(span(f[2]))
+		case "cloud":
+			w.cloud.down = w.now.Add(span(f[2]))
+		}
+	case "deny": // only this node gets 503 from the state service
+		if n := s.node(f[1]); n != nil {
+			w.store.denied[n.name] = w.now.Add(span(f[2]))
+		}
+	case "cut": // cut WHO D hold|reset [only=HOSTS]
+		hosts := map[string]bool{}
+		if n := s.node(f[1]); n != nil {
+			hosts[n.name] = true
+		} else if zone, ok := strings.CutPrefix(f[1], "zone="); ok {
+			for _, m := range w.cloud.machines {
+				if m.zone == zone {
+					hosts[m.host] = true
+				}
+			}
+			hosts["n0"] = true // a node lives in the zone as well
+		} else {
+			n, _ := strconv.Atoi(f[1])
+			for _, m := range s.busiest(n) {
+				hosts[m.host] = true
+			}
+		}
+		var only map[string]bool
+		if o := args(f[3:])["only"]; o != "" {
+			only = map[string]bool{}
+			for h := range strings.SplitSeq(o, ",") {
+				only[h] = true
+			}
+		}
+		w.net.split(hosts, only, f[3] == "hold", span(f[2]))
+	case "hang":
+		n, _ := strconv.Atoi(f[1])
+		for _, m := range s.busiest(n) {
+			m.hung = w.now.Add(span(f[2]))
+		}
+	case "sick":
+		n, _ := strconv.Atoi(f[1])
+		for _, m := range s.busiest(n) {
+			m.sick = true
+			w.after(span(f[2]), func() { m.sick = false })
+		}
+	case "slow":
+		n, _ := strconv.Atoi(f[1])
+		for _, m := range s.busiest(n) {
+			m.speed = num(args(f[2:]), "factor", 3)
+		}
+	case "take": // take N notice=D | take N
+		n, _ := strconv.Atoi(f[1])
+		notice := dur(args(f[2:]), "notice", 0)
+		for _, m := range s.busiest(len(w.cloud.machines)) {
+			if n > 0 && m.reclaimable {
+				n--
+				if notice > 0 {
+					m.leaves = w.now.Add(notice)
+					m.do(m.changed)
+				}
+				w.after(notice, m.end)
+			}
+		}
+	case "boots": // boots never | boots 300 (percent)
+		if f[1] == "never" {
+			w.cloud.boots = func() (time.Duration, bool) { return 100, w.rng.IntN(2) == 0 }
+		} else {
+			p, _ := strconv.Atoi(f[1])
+			w.cloud.boots = func() (time.Duration, bool) { return time.Duration(p), true }
+		}
+	case "plant":
+		s.plant(f[1])
+	default:
+		panic("unknown action " + f[0])
+	}
+}
+
+// plant breaks a rule on purpose, past the controllers, so that the test sees
+// the checker catch it.
+func (s *script) plant(rule string) {
+	w := s.world
+	ms := s.busiest(len(w.cloud.machines))
+	j := w.order[0]
+	force := func(m *worker, id core.TaskID) {
+		t := &task{id: id, try: 1, job: w.jobs[id.Job], phase: core.Pulling}
+		m.tasks = append(m.tasks, t)
+		w.dirty = true
+		m.begin(t)
+	}
+	switch rule {
+	case "ran_twice":
+		for _, t := range ms[0].tasks {
+			if t.on() {
+				force(ms[1], t.id)
+				return
+			}
+		}
+	case "quota":
+		for i := range 40 {
+			force(ms[i%len(ms)], core.TaskID{Job: j.spec.ID, Index: i % j.spec.Tasks})
+		}
+	case "wrong_place":
+		j.spec.Zone = "elsewhere"
+		force(ms[0], core.TaskID{Job: j.spec.ID})
+	case "ran_cancelled":
+		j.told, j.toldAt = core.Cancelled, w.now.Add(-w.cancelWithin-time.Second)
+		w.dirty = true
+	case "forgotten":
+		w.submitted(j, 422, core.AnswerUser{})
+	case "invented":
+		k := map[string]*userJob{}
+		w.jobs = k // its user knows nothing of it any more
+		w.request(core.OpGet, nil, j.spec.ID, 2*time.Second, func(status int, a core.AnswerUser) {
+			if status == 200 && w.jobs[j.spec.ID] == nil {
+				w.fail("invented", "%s gets 200", j.spec.ID)
+			}
+		})
+		w.after(3*time.Second, func() { w.jobs[j.spec.ID] = j })
+	case "not_done":
+		w.hear(j, core.JobView{ID: j.spec.ID, State: core.Done})
+	case "went_back":
+		w.hear(j, core.JobView{ID: j.spec.ID, State: core.Cancelled})
+	case "nothing_ran":
+		w.started = 0
+		w.at(w.start.Add(s.end), func() { w.started = 0 })
+	default:
+		panic("no such rule " + rule)
+	}
+}
--- /dev/null
+++ b/internal/scenario/store.go
@@ -0,0 +1,305 @@
+package scenario
+
+import (
+	"encoding/json"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// store is the stand-in of the state service. It speaks the protocol's JSON.
+type store struct {
+	*clock
+	keys   map[string]*storedKey
+	rev    uint64
+	grants map[uint64]*storedGrant
+	next   uint64
+	follow []*follower
+	down   time.Time            // an outage lasts until then
+	denied map[string]time.Time // nodes that get 503 until then
+
+	rps, writeRPS  float64
+	valueKB        float64
+	txnOps         int
+	reqs, writes   float64 // what the allowances have left
+	refilled       time.Time
+	misuse         string // a request beyond the protocol's limits
+	requests, puts int
+	refused        int
+}
+
+type storedKey struct {
+	value json.RawMessage
+	rev   uint64
+	grant uint64
+}
+
+type storedGrant struct {
+	until time.Time
+	ttl   time.Duration
+}
+
+type follower struct {
+	prefix string
+	from   uint64
+	answer func(int, []byte)
+}
+
+type object = map[string]any
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// outage makes the service answer 503 to everybody. Every grant has its full
+// time again when it ends.
+func (s *store) outage(d time.Duration) {
+	s.down = s.now.Add(d)
+	s.after(d, func() {
+		for _, g := range s.grants {
+			g.until = s.now.Add(g.ttl)
+		}
+		for id := range s.grants {
+			s.watchGrant(id)
+		}
+		s.notify()
+	})
+}
+
+func (s *store) watchGrant(id uint64) {
+	g := s.grants[id]
+	s.at(g.until, func() {
+		if s.grants[id] == g && !s.now.Before(g.until) && !s.now.Before(s.down) {
+			s.dropGrant(id)
+		}
+	})
+}
+
+func (s *store) dropGrant(id uint64) {
+	delete(s.grants, id)
+	for _, k := range s.sorted("") {
+		if s.keys[k].grant == id {
+			s.rev++
+			delete(s.keys, k)
+		}
+	}
+	s.notify()
+}
+
+func (s *store) sorted(prefix string) []string {
+	var ks []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			ks = append(ks, k)
+		}
+	}
+	sort.Strings(ks)
+	return ks
+}
+
+// notify answers the followers; any change wakes all, which is allowed since
+// they read the keys again.
+func (s *store) notify() {
+	if s.now.Before(s.down) {
+		return
+	}
+	fs := s.follow
+	s.follow = nil
+	for _, f := range fs {
+		if s.rev > f.from {
+			f.answer(200, encode(object{"storeRev": s.rev, "log": []any{}}))
+		} else {
+			s.follow = append(s.follow, f)
+		}
+	}
+}
+
+func (s *store) allow(writes int) bool {
+	dt := s.now.Sub(s.refilled).Seconds()
+	s.refilled = s.now
+	s.reqs = min(s.rps, s.reqs+dt*s.rps)
+	s.writes = min(s.writeRPS, s.writes+dt*s.writeRPS)
+	if s.reqs < 1 || s.writes < float64(writes) {
+		return false
+	}
+	s.reqs--
+	s.writes -= float64(writes)
+	return true
+}
+
+type txn struct {
+	When []struct {
+		K      string
+		KeyRev uint64
+	}
+	Then []struct {
+		Write string
+		V     json.RawMessage
+		Grant uint64
+		Drop  string
+	}
+}
+
+func (s *store) serve(node, method, path string, body []byte, answer func(int, []byte)) {
+	s.requests++
+	if s.now.Before(s.down) || s.now.Before(s.denied[node]) {
+		if strings.HasPrefix(path, "/follow") {
+			return // open watches just wait
+		}
+		answer(503, nil)
+		return
+	}
+	u, err := url.Parse(path)
+	if err != nil {
+		answer(400, nil)
+		return
+	}
+	q := u.Query()
+	var t txn
+	if u.Path == "/multi" {
+		if json.Unmarshal(body, &t) != nil || !s.checkTxn(&t, len(body)) {
+			answer(400, nil)
+			return
+		}
+	}
+	if !s.allow(len(t.Then)) {
+		s.refused++
+		answer(429, nil)
+		return
+	}
+	parts := strings.Split(u.Path, "/")
+	switch {
+	case u.Path == "/multi":
+		s.multi(&t, answer)
+	case u.Path == "/store":
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		entries, more := []any{}, false
+		for _, k := range s.sorted(q.Get("under")) {
+			if k <= q.Get("from") && q.Get("from") != "" {
+				continue
+			}
+			if len(entries) == limit {
+				more = true
+				break
+			}
+			entries = append(entries, object{"k": k, "v": s.keys[k].value, "keyRev": s.keys[k].rev})
+		}
+		answer(200, encode(object{"entries": entries, "truncated": more, "storeRev": s.rev}))
+	case strings.HasPrefix(u.Path, "/store/"):
+		k := strings.TrimPrefix(u.Path, "/store/")
+		if e := s.keys[k]; e != nil {
+			answer(200, encode(object{"k": k, "v": e.value, "keyRev": e.rev, "grant": e.grant}))
+		} else {
+			answer(404, encode(object{"storeRev": s.rev}))
+		}
+	case u.Path == "/follow":
+		from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+		block, _ := strconv.Atoi(q.Get("blockMs"))
+		f := &follower{q.Get("under"), from, answer}
+		s.follow = append(s.follow, f)
+		s.after(time.Duration(block)*time.Millisecond, func() {
+			for i, x := range s.follow {
+				if x == f {
+					s.follow = append(s.follow[:i:i], s.follow[i+1:]...)
+					answer(200, encode(object{"storeRev": s.rev, "log": []any{}}))
+					return
+				}
+			}
+		})
+	case u.Path == "/grants" && method == "POST":
+		var g struct{ TTLMS int64 }
+		json.Unmarshal(body, &g)
+		s.next++
+		s.grants[s.next] = &storedGrant{s.now.Add(time.Duration(g.TTLMS) * time.Millisecond), time.Duration(g.TTLMS) * time.Millisecond}
+		s.watchGrant(s.next)
+		answer(200, encode(object{"grant": s.next}))
+	case len(parts) >= 3 && parts[1] == "grants":
+		id, _ := strconv.ParseUint(parts[2], 10, 64)
+		g := s.grants[id]
+		switch {
+		case g == nil:
+			answer(404, nil)
+		case method == "DELETE":
+			s.dropGrant(id)
+			answer(200, nil)
+		default:
+			n := &storedGrant{s.now.Add(g.ttl), g.ttl}
+			s.grants[id] = n
+			s.watchGrant(id)
+			answer(200, encode(object{}))
+		}
+	default:
+		answer(400, nil)
+	}
+}
+
+// checkTxn holds transactions to the protocol's limits; going beyond them is a
+// fault of ours and fails the scenario.
+func (s *store) checkTxn(t *txn, size int) bool {
+	bad := ""
+	switch {
+	case len(t.Then) > s.txnOps:
+		bad = "too many changes in a transaction"
+	case len(t.When) > 4*s.txnOps:
+		bad = "too many conditions in a transaction"
+	case size > 64<<10:
+		bad = "a transaction larger than 64 KiB"
+	}
+	keys := map[string]bool{}
+	for _, w := range t.Then {
+		if float64(len(w.V)) > s.valueKB*1024 {
+			bad = "a value larger than allowed"
+		}
+		k := w.Write + w.Drop
+		if len(k) == 0 || len(k) > 200 || strings.Contains(k, " ") || keys[k] {
+			bad = "a bad key, or one twice in a transaction"
+		}
+		keys[k] = true
+	}
+	if bad != "" {
+		s.misuse = bad
+	}
+	return bad == ""
+}
+
+func (s *store) multi(t *txn, answer func(int, []byte)) {
+	for _, w := range t.Then {
+		if w.Grant != 0 && s.grants[w.Grant] == nil {
+			answer(400, encode(object{"error": "no such lease"}))
+			return
+		}
+	}
+	failed := []string{}
+	for _, w := range t.When {
+		var rev uint64
+		if e := s.keys[w.K]; e != nil {
+			rev = e.rev
+		}
+		if rev != w.KeyRev {
+			failed = append(failed, w.K)
+		}
+	}
+	if len(failed) > 0 {
+		answer(409, encode(object{"failed": failed, "storeRev": s.rev}))
+		return
+	}
+	if len(t.Then) > 0 {
+		s.rev++
+	}
+	for _, w := range t.Then {
+		s.puts++
+		if w.Drop != "" {
+			delete(s.keys, w.Drop)
+		} else {
+			s.keys[w.Write] = &storedKey{w.V, s.rev, w.Grant}
+		}
+	}
+	answer(200, encode(object{"storeRev": s.rev}))
+	s.notify()
+}
--- /dev/null
+++ b/internal/scenario/users.go
@@ -0,0 +1,203 @@
+package scenario
+
+import (
+	"fmt"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+// userJob is a job and what its user knows of it.
+type userJob struct {
+	spec     core.JobSpec
+	runs     time.Duration // how long a task really takes
+	faulty   bool          // every task fails
+	first    time.Time     // first attempt to submit
+	status   int           // the answer that ended the submission
+	accepted bool
+	told     core.JobState // the last state of consequence: "", done or cancelled
+	wants    bool          // its user asked to cancel it
+	toldAt   time.Time     // when it was told cancelled
+	done     map[int]bool
+	finished time.Time
+	progress map[int]time.Duration
+	reached  time.Time // last answered poll
+	failing  int
+	asked    bool // a repeated submission has been made
+}
+
+func (w *world) request(op core.UserOp, j *userJob, id string, timeout time.Duration, f func(status int, a core.AnswerUser)) {
+	n := w.pickNode()
+	over := false
+	answer := func(status int, a core.AnswerUser) {
+		if !over {
+			over = true
+			f(status, a)
+		}
+	}
+	w.after(timeout, func() { answer(0, core.AnswerUser{}) })
+	if n == nil {
+		w.after(10*time.Millisecond, func() { answer(0, core.AnswerUser{}) })
+		return
+	}
+	w.net.send("user", n.name, func() {
+		if !n.alive {
+			w.net.send(n.name, "user", func() { answer(0, core.AnswerUser{}) })
+			return
+		}
+		n.ask(func(ref uint64) any {
+			c := core.UserCall{Ref: ref, Op: op, ID: id}
+			if op == core.OpSubmit {
+				s := j.spec
+				c.Spec = &s
+			}
+			return c
+		}, func(v any) {
+			a := v.(core.AnswerUser)
+			w.net.send(n.name, "user", func() { answer(a.Status, a) })
+		})
+	})
+}
+
+// pickNode chooses as the load balancer does: among the nodes that are up.
+func (w *world) pickNode() *node {
+	var up []*node
+	for _, n := range w.nodes {
+		if n.alive && n.core.Ready() && w.net.open("user", n.name) {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[w.rng.IntN(len(up))]
+}
+
+func again(a core.AnswerUser) time.Duration { return max(time.Second, a.RetryAfter) }
+
+func (w *world) submit(j *userJob) {
+	if j.first.IsZero() {
+		j.first = w.now
+		w.jobs[j.spec.ID] = j
+		w.order = append(w.order, j)
+	}
+	w.request(core.OpSubmit, j, j.spec.ID, 5*time.Second, func(status int, a core.AnswerUser) {
+		w.submitted(j, status, a)
+	})
+}
+
+func (w *world) submitted(j *userJob, status int, a core.AnswerUser) {
+	switch status {
+	case 200, 201:
+		w.hear(j, a.View)
+		if j.status == 0 {
+			j.status = status
+			w.after(w.spread(2500*time.Millisecond, 1), func() { w.poll(j) })
+		}
+	case 400, 422:
+		if j.accepted {
+			w.fail("forgotten", "repeated submission of %s gets %d", j.spec.ID, status)
+		}
+		j.status = status
+	default:
+		if j.asked || j.status != 0 {
+			return
+		}
+		if w.now.Sub(j.first) < 60*time.Second {
+			w.after(again(a), func() { w.submit(j) })
+		}
+	}
+}
+
+// hear checks an answer against what the user was told before and against what
+// really happened.
+func (w *world) hear(j *userJob, v core.JobView) {
+	j.accepted = true
+	if j.told != "" && v.State != j.told {
+		w.fail("went_back", "%s was called %s, then %s", j.spec.ID, j.told, v.State)
+	}
+	switch v.State {
+	case core.Done:
+		if len(j.done) < j.spec.Tasks {
+			w.fail("not_done", "%s is called done with %d of %d tasks", j.spec.ID, len(j.done), j.spec.Tasks)
+		}
+		j.told = v.State
+	case core.Cancelled:
+		if !j.wants {
+			w.fail("went_back", "%s is called cancelled, its user did not cancel it", j.spec.ID)
+		}
+		if j.told == "" {
+			j.toldAt = w.now
+		}
+		j.told = v.State
+	}
+}
+
+func (w *world) poll(j *userJob) {
+	w.request(core.OpGet, nil, j.spec.ID, 2*time.Second, func(status int, a core.AnswerUser) {
+		w.polls++
+		switch status {
+		case 200:
+			j.reached, j.failing = w.now, 0
+			w.answered = append(w.answered, w.now)
+			w.hear(j, a.View)
+		case 404:
+			if j.accepted {
+				w.fail("forgotten", "accepted job %s gets 404", j.spec.ID)
+			}
+		default:
+			if j.failing == 0 {
+				j.reached = w.now
+			}
+			j.failing++
+			w.failures = append(w.failures, w.now)
+			if w.now.Sub(j.reached) > 90*time.Second && j.failing > 10 && w.since(w.answered) > w.since(w.failures) {
+				w.fail("forgotten", "no poll of %s is answered for 90 s", j.spec.ID)
+			}
+		}
+		if j.told == "" {
+			w.after(w.spread(5*time.Second, 0.2), func() { w.poll(j) })
+		} else if !j.asked {
+			// A late repetition, long after the end, and one more poll.
+			j.asked = true
+			w.after(w.spread(25*time.Second, 0.9), func() { w.submit(j) })
+			w.after(w.spread(40*time.Second, 0.9), func() { w.poll(j) })
+		}
+	})
+}
+
+// since counts the entries of the last 90 s.
+func (w *world) since(ts []time.Time) int {
+	n := 0
+	for i := len(ts) - 1; i >= 0 && w.now.Sub(ts[i]) < 90*time.Second; i-- {
+		n++
+	}
+	return n
+}
+
+func (w *world) cancel(j *userJob) {
+	j.wants = true
+	w.request(core.OpCancel, nil, j.spec.ID, 5*time.Second, func(status int, a core.AnswerUser) {
+		switch status {
+		case 200:
+			w.hear(j, a.View)
+		case 404:
+			if j.accepted {
+				w.fail("forgotten", "cancellation of accepted job %s gets 404", j.spec.ID)
+			}
+		default:
+			w.after(again(a), func() { w.cancel(j) })
+		}
+	})
+}
+
+// askUnknown polls for jobs that nobody has submitted.
+func (w *world) askUnknown() {
+	id := fmt.Sprintf("wk-9%08d", w.rng.IntN(1e8))
+	w.request(core.OpGet, nil, id, 2*time.Second, func(status int, a core.AnswerUser) {
+		if status == 200 {
+			w.fail("invented", "%s, which nobody submitted, gets 200", id)
+		}
+	})
+	w.after(7*time.Second, w.askUnknown)
+}
--- /dev/null
+++ b/internal/scenario/worker.go
@@ -0,0 +1,325 @@
+package scenario
+
+import (
+	"slices"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+// worker is the stand-in of a machine and its worker.
+type worker struct {
+	*world
+	host              string
+	flavor            *flavorDef
+	zone              string
+	reclaimable       bool
+	created, up, gone time.Time
+	speed             float64 // above 1: slower
+	sick              bool
+	hung              time.Time
+	leaves            time.Time // notice of being taken
+
+	tenure, counter, epoch uint64
+	tasks                  []*task
+	images                 map[string]time.Time // when each image is there
+	node                   int
+	flight                 int       // number of the report in flight, 0: none
+	flights                int       // reports so far
+	sent, answered         time.Time // last report; send time of the last answered one
+	told                   time.Time // last report for a higher epoch
+	news                   bool
+	plan                   int // number of the latest plan to report
+}
+
+// task is an attempt on a machine.
+type task struct {
+	id     core.TaskID
+	try    uint64
+	job    *userJob
+	phase  core.Phase
+	cause  string
+	began  time.Time
+	change int // number of the latest planned change
+}
+
+// on reports whether the task is on the machine in the sense of the rules: it
+// has its image and has not exited.
+func (t *task) on() bool { return t.phase == core.TaskRuns || t.phase == core.Saving }
+
+// do runs f when the machine executes: not before a hang is over, never once it
+// is gone, and after the lease has been looked at.
+func (m *worker) do(f func()) {
+	if !m.gone.IsZero() || m.up.IsZero() {
+		return
+	}
+	if m.now.Before(m.hung) {
+		m.at(m.hung, func() { m.do(f) })
+		return
+	}
+	m.checkLease()
+	f()
+}
+
+func (m *worker) boot() {
+	if !m.gone.IsZero() {
+		return
+	}
+	m.up = m.now
+	m.session()
+	m.report()
+}
+
+func (m *worker) session() {
+	m.tenure++
+	m.answered = m.now
+	m.tasks = nil
+	m.dirty = true
+	m.watchLease()
+}
+
+func (m *worker) watchLease() {
+	m.at(m.answered.Add(m.lease+time.Millisecond), func() { m.do(func() {}) })
+}
+
+func (m *worker) checkLease() {
+	if m.now.Sub(m.answered) > m.lease {
+		m.session()
+		m.changed()
+	}
+}
+
+// end takes the machine away with everything on it.
+func (m *worker) end() {
+	if m.gone.IsZero() {
+		m.gone = m.now
+		m.tasks = nil
+		m.dirty = true
+	}
+}
+
+// changed has a report sent soon.
+func (m *worker) changed() {
+	m.news = true
+	m.dirty = true
+	m.planReport(max(0, m.sent.Add(500*time.Millisecond).Sub(m.now)))
+}
+
+func (m *worker) planReport(d time.Duration) {
+	m.plan++
+	plan := m.plan
+	m.after(d, func() {
+		m.do(func() {
+			if m.plan == plan && m.flight == 0 {
+				m.report()
+			}
+		})
+	})
+}
+
+func (m *worker) report() {
+	m.counter++
+	m.flights++
+	m.flight = m.flights
+	m.sent = m.now
+	m.news = false
+	m.plan++
+	id, tenure, sent := m.flight, m.tenure, m.now
+	rep := core.Report{Host: m.host, Address: "10.1.0.1:9000", Flavor: m.flavor.name, Zone: m.zone, Reclaimable: m.reclaimable,
+		Tenure: m.tenure, Counter: m.counter, Epoch: m.epoch}
+	if !m.leaves.IsZero() {
+		rep.HasNotice, rep.Notice = true, m.leaves.Sub(m.now)
+	}
+	for _, t := range m.tasks {
+		rep.Tasks = append(rep.Tasks, core.TaskReport{Task: t.id, Try: t.try, Phase: t.phase, Cause: t.cause})
+	}
+	n := m.nodes[m.node%len(m.nodes)]
+	back := func(f func()) { m.net.send(n.name, m.host, func() { m.do(f) }) }
+	m.net.send(m.host, n.name, func() {
+		if !n.alive {
+			back(func() { m.failed(id) })
+			return
+		}
+		n.ask(func(ref uint64) any { return core.ReportIn{Ref: ref, Report: rep} }, func(a any) {
+			ans := a.(core.AnswerReport)
+			ans.Orders = slices.Clone(ans.Orders)
+			back(func() { m.reply(id, tenure, sent, ans) })
+		})
+	})
+	m.after(4*time.Second, func() { m.do(func() { m.failed(id) }) })
+}
+
+// failed: no answer of use; the next node is tried a second later.
+func (m *worker) failed(id int) {
+	if m.flight != id {
+		return
+	}
+	m.flight = 0
+	m.node++
+	m.planReport(time.Second)
+}
+
+func (m *worker) reply(id int, tenure uint64, sent time.Time, a core.AnswerReport) {
+	if m.flight != id {
+		return // given up
+	}
+	switch {
+	case a.Status == 421:
+		for i, n := range m.nodes {
+			if n.name == a.Upstream && i != m.node%len(m.nodes) {
+				m.flight = 0
+				m.node = i
+				m.planReport(time.Duration(m.rng.Int64N(int64(500 * time.Millisecond))))
+				return
+			}
+		}
+		fallthrough
+	default:
+		m.failed(id)
+		return
+	case a.Status == 200:
+	}
+	m.flight = 0
+	if a.Epoch < m.epoch || tenure != m.tenure {
+		m.planReport(m.spread(m.reportEvery, 0.25))
+		return
+	}
+	if sent.After(m.answered) {
+		m.answered = sent
+		m.watchLease()
+	}
+	if a.Epoch > m.epoch {
+		m.epoch = a.Epoch
+		if m.now.Sub(m.told) >= m.lease/2 {
+			m.told = m.now
+			m.news = true
+		}
+	}
+	for _, o := range a.Orders {
+		m.execute(o)
+	}
+	next := m.sent.Add(m.spread(m.reportEvery, 0.25)).Sub(m.now)
+	if m.news {
+		next = m.sent.Add(500 * time.Millisecond).Sub(m.now)
+	}
+	m.planReport(max(next, 0))
+}
+
+func (m *worker) find(id core.TaskID, try uint64) *task {
+	for _, t := range m.tasks {
+		if t.id == id && t.try == try {
+			return t
+		}
+	}
+	return nil
+}
+
+func (m *worker) execute(o core.Order) {
+	t := m.find(o.Task, o.Try)
+	m.news = true
+	m.dirty = true
+	switch o.Verb {
+	case core.Start:
+		if t == nil {
+			m.start(o)
+		}
+	case core.Stop:
+		if t == nil || t.phase == core.Exited {
+			return
+		}
+		s := &t.job.spec
+		if t.phase == core.Saving && o.Drain > 0 {
+			return
+		}
+		if t.phase == core.TaskRuns && s.SnapshotEvery > 0 && o.Drain >= s.Snapshot {
+			t.phase = core.Saving
+			m.later(t, s.Snapshot, func() {
+				t.job.progress[t.id.Index] += m.now.Sub(t.began)
+				m.exit(t, core.CauseStopped)
+			})
+			return
+		}
+		m.exit(t, core.CauseStopped)
+	case core.Reap:
+		if t != nil && t.phase == core.Exited {
+			m.tasks = slices.DeleteFunc(m.tasks, func(x *task) bool { return x == t })
+		}
+	}
+}
+
+// later has f run after d unless the task changes before.
+func (m *worker) later(t *task, d time.Duration, f func()) {
+	t.change++
+	n, tenure := t.change, m.tenure
+	m.after(d, func() {
+		m.do(func() {
+			if t.change == n && m.tenure == tenure && t.phase != core.Exited {
+				f()
+			}
+		})
+	})
+}
+
+func (m *worker) exit(t *task, cause string) {
+	t.change++
+	t.phase, t.cause = core.Exited, cause
+	if cause == core.CauseDone {
+		t.job.done[t.id.Index] = true
+		if len(t.job.done) == t.job.spec.Tasks && t.job.finished.IsZero() {
+			t.job.finished = m.now
+		}
+	}
+	m.changed()
+}
+
+func (m *worker) start(o core.Order) {
+	t := &task{id: o.Task, try: o.Try, phase: core.Pulling}
+	t.job = m.jobs[o.Task.Job]
+	refuse := ""
+	cpus, gpus, mem := 0.0, 0.0, 0.0
+	for _, x := range m.tasks {
+		if x.phase != core.Exited {
+			if x.id == o.Task {
+				refuse = core.CauseBusy
+			}
+			s := &x.job.spec
+			cpus, gpus, mem = cpus+s.CPUs, gpus+s.GPUs, mem+s.MemGB
+		}
+	}
+	m.tasks = append(m.tasks, t)
+	if t.job == nil || t.id.Index >= t.job.spec.Tasks {
+		t.phase, t.cause = core.Exited, core.CauseNoSuch
+		return
+	}
+	s := &t.job.spec
+	const eps = 1e-6
+	if refuse == "" && (cpus+s.CPUs > m.flavor.cpus+eps || mem+s.MemGB > m.flavor.mem+eps || gpus+s.GPUs > m.flavor.gpus+eps) {
+		refuse = core.CauseNoRoom
+	}
+	if refuse != "" {
+		t.phase, t.cause = core.Exited, refuse
+		m.refusals++
+		return
+	}
+	ready, ok := m.images[s.Image]
+	if !ok {
+		ready = m.now.Add(time.Duration(s.ImageGB / m.flavor.fetch * float64(time.Second)))
+		m.images[s.Image] = ready
+	}
+	m.later(t, max(0, ready.Sub(m.now)), func() { m.begin(t) })
+}
+
+// begin: the task has its image and is on the machine from now on.
+func (m *worker) begin(t *task) {
+	m.checkStart(m, t)
+	t.phase, t.began = core.TaskRuns, m.now
+	m.started++
+	m.changed()
+	switch {
+	case m.sick || t.job.faulty:
+		m.later(t, 500*time.Millisecond, func() { m.exit(t, core.CauseError) })
+	case !t.job.spec.Service:
+		left := max(0, t.job.runs-t.job.progress[t.id.Index])
+		m.later(t, time.Duration(float64(left)*m.speed), func() { m.exit(t, core.CauseDone) })
+	}
+}
--- /dev/null
+++ b/internal/scenario/world.go
@@ -0,0 +1,314 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"yewpass/internal/cloud"
+	"yewpass/internal/config"
+	"yewpass/internal/core"
+	"yewpass/internal/policy"
+	"yewpass/internal/state"
+)
+
+// world is everything that a scenario plays with.
+type world struct {
+	*clock
+	net     *network
+	store   *store
+	cloud   *cloudSim
+	nodes   []*node
+	workers map[string]*worker
+	jobs    map[string]*userJob
+	order   []*userJob
+	cfg     config.Config
+	rules   []byte // policy
+
+	reportEvery, lease, cancelWithin time.Duration
+
+	dirty              bool
+	violations         []string
+	broken             map[string]bool
+	started, refusals  int
+	polls              int
+	answered, failures []time.Time
+	trace              func(string)
+}
+
+func (w *world) fail(rule, format string, args ...any) {
+	if w.broken[rule] {
+		return // once is enough
+	}
+	w.broken[rule] = true
+	w.violations = append(w.violations, fmt.Sprintf("%8.3f %s: %s", w.elapsed().Seconds(), rule, fmt.Sprintf(format, args...)))
+}
+
+// checkStart holds the rules that speak of the moment a task starts.
+func (w *world) checkStart(m *worker, t *task) {
+	s := &t.job.spec
+	if len(s.Flavors) > 0 && !slices.Contains(s.Flavors, m.flavor.name) || s.Zone != "" && s.Zone != m.zone || m.reclaimable && !s.Reclaimable {
+		w.fail("wrong_place", "%s starts on %s (%s in %s)", t.id, m.host, m.flavor.name, m.zone)
+	}
+	here, elsewhere := 1, 0
+	for _, o := range w.cloud.machines {
+		for _, x := range o.tasks {
+			if x == t || !x.on() {
+				continue
+			}
+			if x.id == t.id && o != m {
+				w.fail("ran_twice", "%s starts on %s while it is on %s", t.id, m.host, o.host)
+			}
+			if x.job == t.job && o.zone == m.zone {
+				here++
+			} else if x.job == t.job {
+				elsewhere++
+			}
+		}
+	}
+	if s.SamePlace && elsewhere > 0 {
+		w.fail("wrong_place", "%s starts in %s while others of its job are elsewhere", t.id, m.zone)
+	}
+	if s.Apart && here > (s.Tasks+1)/2 {
+		w.fail("wrong_place", "%d of %d tasks of %s are in %s", here, s.Tasks, s.ID, m.zone)
+	}
+	if t.job.told == core.Cancelled && w.now.Sub(t.job.toldAt) > w.cancelWithin {
+		w.fail("ran_cancelled", "%s starts", t.id)
+	}
+}
+
+// check holds the rules that speak of any moment.
+func (w *world) check() {
+	use := map[string][2]float64{}
+	for _, m := range w.cloud.machines {
+		for _, t := range m.tasks {
+			if t.job == nil || t.phase == core.Exited {
+				continue
+			}
+			u := use[t.job.spec.Owner]
+			u[0] += t.job.spec.CPUs
+			u[1] += t.job.spec.GPUs
+			use[t.job.spec.Owner] = u
+			if t.on() && t.job.told == core.Cancelled && w.now.Sub(t.job.toldAt) > w.cancelWithin {
+				w.fail("ran_cancelled", "%s is on %s", t.id, m.host)
+			}
+		}
+	}
+	const eps = 1e-6
+	for _, t := range w.cfg.Settings.Teams {
+		u := use[t.Name]
+		if t.CPUsMax > 0 && u[0] > t.CPUsMax+eps || t.GPUsMax > 0 && u[1] > t.GPUsMax+eps {
+			w.fail("quota", "team %s uses %.1f CPUs and %.1f GPUs", t.Name, u[0], u[1])
+		}
+	}
+	if w.store.misuse != "" {
+		w.fail("misuse", "%s", w.store.misuse)
+	}
+}
+
+// run plays until end and checks after every event.
+func (w *world) run(end time.Duration) {
+	last := w.now
+	for w.step(w.start.Add(end)) {
+		if w.dirty || w.now.Sub(last) > time.Second {
+			w.dirty, last = false, w.now
+			w.check()
+		}
+	}
+	if w.started == 0 && slices.ContainsFunc(w.order, func(j *userJob) bool { return j.accepted && !j.wants }) {
+		w.fail("nothing_ran", "no task was started")
+	}
+}
+
+// node is a controller: the core, with the actors' work done by the world.
+type node struct {
+	*world
+	name  string
+	core  *core.Core
+	alive bool
+	life  int
+	skew  time.Duration // of its time of day
+	drift float64       // of its steady clock
+	ref   uint64
+	reply map[uint64]func(any)
+	wake  time.Time
+	links map[string]*link
+}
+
+type link struct {
+	up     bool
+	broken time.Time
+}
+
+// local is the node's own clock.
+func (n *node) local() time.Time {
+	d := n.now.Sub(n.start)
+	return n.now.Add(n.skew + time.Duration(float64(d)*n.drift))
+}
+
+func (n *node) boot() {
+	pol, err := policy.Parse(n.rules)
+	if err != nil {
+		panic(err)
+	}
+	n.life++
+	n.alive = true
+	cfg := n.cfg
+	cfg.HostName = n.name
+	cfg.Seeds = nil
+	for _, o := range n.nodes {
+		if o != n {
+			cfg.Seeds = append(cfg.Seeds, config.Seed{HostName: o.name, Endpoint: o.name})
+		}
+	}
+	n.core = core.New(&cfg, pol, n.rng.Uint64())
+	n.reply = map[uint64]func(any){}
+	n.links = map[string]*link{}
+	for _, o := range n.nodes {
+		n.links[o.name] = &link{}
+	}
+	n.wake = time.Time{}
+	n.input(core.Tick{})
+	n.checkLinks(n.life)
+}
+
+func (n *node) crash(back time.Duration) {
+	if !n.alive {
+		return
+	}
+	n.alive = false
+	n.life++
+	n.after(back, func() {
+		if !n.alive {
+			n.boot()
+		}
+	})
+}
+
+// checkLinks tells the core which links to peers are up: a dead peer is noticed
+// at once, one behind a cut after a while.
+func (n *node) checkLinks(life int) {
+	if n.life != life {
+		return
+	}
+	for _, o := range n.nodes {
+		if o == n {
+			continue
+		}
+		l := n.links[o.name]
+		open := n.net.open(n.name, o.name)
+		switch {
+		case o.alive && open && !l.up:
+			l.up, l.broken = true, time.Time{}
+			n.input(core.PeerLink{Name: o.name, Up: true})
+		case o.alive && open:
+			l.broken = time.Time{}
+		case l.up && l.broken.IsZero():
+			l.broken = n.now
+		}
+		if l.up && !l.broken.IsZero() && (open || n.now.Sub(l.broken) > 2500*time.Millisecond) {
+			l.up = false
+			n.input(core.PeerLink{Name: o.name})
+		}
+	}
+	n.after(300*time.Millisecond, func() { n.checkLinks(life) })
+}
+
+// ask gives the core a request and has f called with its answer.
+func (n *node) ask(in func(ref uint64) any, f func(any)) {
+	n.ref++
+	n.reply[n.ref] = f
+	n.input(in(n.ref))
+}
+
+func (n *node) answer(ref uint64, a any) {
+	if f := n.reply[ref]; f != nil {
+		delete(n.reply, ref)
+		f(a)
+	}
+}
+
+func (n *node) input(in any) {
+	outs := slices.Clone(n.core.Step(n.local(), in))
+	for _, o := range outs {
+		n.do(o)
+	}
+	// The core speaks in its own time; drift is too small to matter here.
+	wake := n.now.Add(max(n.core.Wake().Sub(n.local()), time.Millisecond))
+	if n.wake.IsZero() || wake.Before(n.wake) || !n.wake.After(n.now) {
+		n.wake = wake
+		life := n.life
+		n.at(wake, func() {
+			if n.life == life && n.alive {
+				n.input(core.Tick{})
+			}
+		})
+	}
+}
+
+// here runs f in this life of the node only.
+func (n *node) here(f func()) func() {
+	life := n.life
+	return func() {
+		if n.alive && n.life == life {
+			f()
+		}
+	}
+}
+
+func (n *node) do(o any) {
+	switch o := o.(type) {
+	case core.AnswerUser:
+		n.answer(o.Ref, o)
+	case core.AnswerReport:
+		o.Orders = slices.Clone(o.Orders)
+		n.answer(o.Ref, o)
+	case core.StoreCall:
+		over := false
+		deliver := func(r core.StoreReply) {
+			if !over {
+				over = true
+				r.Ref = o.Ref
+				n.input(r)
+			}
+		}
+		method, path, body := state.Request(o)
+		n.net.send(n.name, "state", func() {
+			n.store.serve(n.name, method, path, body, func(status int, data []byte) {
+				n.net.send("state", n.name, n.here(func() { deliver(state.Decode(o.Op, status, data)) }))
+			})
+		})
+		n.after(o.Within, n.here(func() { deliver(core.StoreReply{Outcome: core.Unknown}) }))
+	case core.CloudCall:
+		over := false
+		deliver := func(r core.CloudReply) {
+			if !over {
+				over = true
+				r.Ref = o.Ref
+				n.input(r)
+			}
+		}
+		method, path, body := cloud.Request(o)
+		n.net.send(n.name, "cloud", func() {
+			n.cloud.serve(method, path, body, func(status int, data []byte) {
+				n.net.send("cloud", n.name, n.here(func() { deliver(cloud.Decode(o, status, data)) }))
+			})
+		})
+		n.after(o.Within, n.here(func() { deliver(core.CloudReply{Outcome: core.Unknown}) }))
+	case core.PeerSend:
+		for _, p := range n.nodes {
+			if p.name == o.To && n.links[p.name].up {
+				msg := o.Msg
+				n.net.send(n.name, p.name, func() {
+					if p.alive {
+						p.input(core.PeerIn{From: n.name, Msg: msg})
+					}
+				})
+			}
+		}
+	case core.Note:
+		if n.trace != nil {
+			n.trace(fmt.Sprintf("%8.3f %s %s %s %v", n.elapsed().Seconds(), n.name, o.Level, o.Text, o.Attrs))
+		}
+	}
+}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -91,8 +91,17 @@
 const maxAnswer = 2 << 20
 
 func (c *Client) call(call core.StoreCall) core.StoreReply {
-	var method, path string
-	var body any
+	method, path, body := Request(call)
+	status, data, ok := c.roundTrip(method, path, body, call.Within)
+	if !ok {
+		return core.StoreReply{Outcome: core.Unknown}
+	}
+	return Decode(call.Op, status, data)
+}
+
+// Request writes a call as the service's protocol has it.
+func Request(call core.StoreCall) (method, path string, body []byte) {
+	var v any
 	switch call.Op {
 	case core.StoreGet:
 		method, path = http.MethodGet, "/store/"+call.Key
@@ -107,33 +116,24 @@
 			"blockMs": {strconv.FormatInt(call.Wait.Milliseconds(), 10)}}
 		method, path = http.MethodGet, "/follow?"+q.Encode()
 	case core.StoreTxn:
-		method, path, body = http.MethodPost, "/multi", encodeTxn(call)
+		method, path, v = http.MethodPost, "/multi", encodeTxn(call)
 	case core.StoreGrant:
-		method, path, body = http.MethodPost, "/grants", ttlJSON{call.TTL.Milliseconds()}
+		method, path, v = http.MethodPost, "/grants", ttlJSON{call.TTL.Milliseconds()}
 	case core.StoreExtend:
-		method, path, body = http.MethodPost, fmt.Sprintf("/grants/%d/extend", call.Grant), ttlJSON{call.TTL.Milliseconds()}
+		method, path, v = http.MethodPost, fmt.Sprintf("/grants/%d/extend", call.Grant), ttlJSON{call.TTL.Milliseconds()}
 	case core.StoreDropGrant:
 		method, path = http.MethodDelete, fmt.Sprintf("/grants/%d", call.Grant)
 	}
-	status, data, ok := c.roundTrip(method, path, body, call.Within)
-	if !ok {
-		return core.StoreReply{Outcome: core.Unknown}
+	if v != nil {
+		body, _ = json.Marshal(v) // plain structs of ours: cannot fail
 	}
-	return decode(call.Op, status, data)
+	return method, path, body
 }
 
-func (c *Client) roundTrip(method, path string, body any, within time.Duration) (int, []byte, bool) {
+func (c *Client) roundTrip(method, path string, body []byte, within time.Duration) (int, []byte, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	var rd io.Reader
-	if body != nil {
-		data, err := json.Marshal(body)
-		if err != nil {
-			return 0, nil, false
-		}
-		rd = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, false
 	}
@@ -149,7 +149,9 @@
 	return resp.StatusCode, data, true
 }
 
-func decode(op core.StoreOp, status int, data []byte) core.StoreReply {
+// Decode reads an answer. Whatever is not what the protocol promises is an
+// unknown outcome.
+func Decode(op core.StoreOp, status int, data []byte) core.StoreReply {
 	switch status {
 	case http.StatusOK:
 	case http.StatusConflict:
