--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -237,7 +239,7 @@
 	}
 	c.note(slog.LevelWarn, "leadership lost", "term", l.term, "reason", why)
 	c.lead = nil
-	for _, m := range l.machines {
+	for _, m := range l.fleet {
 		if m.held != nil {
 			c.emit(AnswerReport{Ref: m.held.ref, Status: 421, Upstream: c.hint})
 		}
@@ -245,13 +247,18 @@
 	for _, r := range l.waiting {
 		c.emit(AnswerReport{Ref: r.Ref, Status: 421, Upstream: c.hint})
 	}
-	for _, a := range l.accept {
-		a.answerAll(c, unavailable("leadership was lost, try again"))
+	c.answerWaiting(l, unavailable("leadership was lost, try again"))
+	c.after(c.jitter(100*time.Millisecond), c.watch)
+}
+
+// answerWaiting answers everybody who waits for a write.
+func (c *Core) answerWaiting(l *leadership, a AnswerUser) {
+	for _, id := range slices.Sorted(maps.Keys(l.accept)) {
+		l.accept[id].answerAll(c, a)
 	}
-	for _, j := range l.jobs {
-		j.answerCancels(c, unavailable("leadership was lost, try again"))
+	for _, j := range l.sortedJobs() {
+		j.answerCancels(c, a)
 	}
-	c.after(c.jitter(100*time.Millisecond), c.watch)
 }
 
 // load reads the records of the earlier terms, page by page.
@@ -306,7 +313,7 @@
 func (c *Core) loadedAll() {
 	l := c.lead
 	l.loaded = true
-	for _, j := range l.jobs {
+	for _, j := range l.sortedJobs() {
 		c.jobLoaded(j)
 	}
 	c.note(slog.LevelInfo, "records read", "term", l.term, "jobs", len(l.jobs), "machines", len(l.owed))
@@ -333,12 +340,7 @@
 			l.held = true
 			c.note(slog.LevelWarn, "authority lapsed, holding the workers", "term", l.term, "hold", c.hold)
 			// Whoever waits for a write hears at once that it is not known.
-			for _, a := range l.accept {
-				a.answerAll(c, unavailable("the state service does not answer"))
-			}
-			for _, j := range l.jobs {
-				j.answerCancels(c, unavailable("the state service does not answer"))
-			}
+			c.answerWaiting(l, unavailable("the state service does not answer"))
 			c.releaseHeld()
 		}
 		return
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -171,6 +171,7 @@
 		c.note(slog.LevelDebug, "machine reports", "machine", m.host, "type", rep.Flavor, "zone", rep.Zone, "tasks", len(rep.Tasks))
 		m.idle = c.now
 		l.dirty = true
+		delete(l.rent.patience, m.flavorName)
 	}
 	if m.reported && rep.Tenure > m.tenure {
 		// Its lease ran out: the worker has killed all that it had.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -33,7 +33,7 @@
 	listAt   time.Time
 	catalog  time.Time
 	backlog  time.Duration
-	phantom  map[string]bool
+	patience map[string]float64 // by type, how much longer than usual boots take at present
 	releases []string
 	freeing  bool
 }
@@ -49,7 +49,7 @@
 	rps := cfg.Settings.Cloud.RPS
 	return renting{
 		limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps))), refused: map[offer]time.Time{},
-		wanted: map[string]*rental{}, leastCPU: 1,
+		wanted: map[string]*rental{}, patience: map[string]float64{}, leastCPU: 1,
 	}
 }
 
@@ -258,6 +258,9 @@
 			ready = m.flavor.Ready
 		}
 		last, wait = m.rentedAt, max(3*ready, ready+30*time.Second)
+		if p := l.rent.patience[m.flavorName]; p > 0 {
+			wait = time.Duration(float64(wait) * p)
+		}
 		if m.since.Add(3 * silent).After(last.Add(wait)) {
 			last, wait = m.since, 3*silent
 		}
@@ -265,6 +268,11 @@
 	switch {
 	case c.now.Sub(last) > wait && (!cutOff || booting):
 		c.note(slog.LevelWarn, "machine silent, releasing it", "machine", m.host, "type", m.flavorName, "silent", c.now.Sub(last), "tasks", len(m.runs), "booted", !booting)
+		if booting {
+			// When boots take longer than that for a while, giving up each time
+			// would never get a machine.
+			l.rent.patience[m.flavorName] = min(max(l.rent.patience[m.flavorName], 1)*1.25, 6)
+		}
 		c.release(m)
 		return
 	case m.flavor == nil && len(l.rent.flavors) > 0:
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"yewpass/internal/policy"
@@ -97,8 +99,8 @@
 
 // linkLost answers what was forwarded over a lost link.
 func (c *Core) linkLost(name string) {
-	for ref, f := range c.calls {
-		if f.leader == name {
+	for _, ref := range slices.Sorted(maps.Keys(c.calls)) {
+		if f := c.calls[ref]; f.leader == name {
 			delete(c.calls, ref)
 			c.withoutLeader(f.call)
 		}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -10,7 +10,10 @@
 	"testing"
 )
 
-var verbose = flag.Bool("trace", false, "print what the controllers log")
+var (
+	verbose = flag.Bool("trace", false, "print what the controllers log")
+	seeds   = flag.Uint64("seeds", 40, "how many random fault mixes to play")
+)
 
 func play(t *testing.T, text string) Result {
 	t.Helper()
@@ -80,7 +83,7 @@
 		"sick 1 60s", "slow 1 factor=3", "take 3 notice=12s", "take 4", "boots never", "boots 300",
 		"crash leader back=2s", "cut follower 10s hold only=state", "hang 3 19s", "crash all back=4s",
 	}
-	for seed := range uint64(40) {
+	for seed := range *seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 5))
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -199,7 +199,7 @@
 			e.met = s.holds(e.what)
 		}
 		if !e.met {
-			res.Unmet = append(res.Unmet, strings.Join(e.what, " "))
+			res.Unmet = append(res.Unmet, strings.Join(e.what, " ")+s.unfinished())
 		}
 	}
 	if i := slices.IndexFunc(s.expects, func(e expect) bool { return e.what[0] == "rule" }); i >= 0 {
@@ -211,6 +211,17 @@
 	return res, nil
 }
 
+// unfinished names the accepted jobs that are not over.
+func (s *script) unfinished() string {
+	var sb strings.Builder
+	for _, j := range s.order {
+		if j.accepted && j.told == "" {
+			fmt.Fprintf(&sb, " [%s: %d of %d tasks done]", j.spec.ID, len(j.done), j.spec.Tasks)
+		}
+	}
+	return sb.String()
+}
+
 // adoptSettings takes over what the settings say.
 func (w *world) adoptSettings(trace func(string)) {
 	st, wk := w.cfg.Settings.State, w.cfg.Settings.Workers
@@ -224,7 +235,7 @@
 	switch e[0] {
 	case "done", "cancelled":
 		for _, j := range s.order {
-			if (e[1] == "all" && j.status < 400 && !j.wants && !j.spec.Service && !j.faulty || e[1] == j.spec.ID) && string(j.told) != e[0] {
+			if (e[1] == "all" && j.accepted && !j.wants && !j.spec.Service && !j.faulty || e[1] == j.spec.ID) && string(j.told) != e[0] {
 				return false
 			}
 		}
@@ -499,6 +510,7 @@
 		j.told, j.toldAt = core.Cancelled, w.now.Add(-w.cancelWithin-time.Second)
 		w.dirty = true
 	case "forgotten":
+		w.given = w.now
 		w.submitted(j, 422, core.AnswerUser{})
 	case "invented":
 		k := map[string]*userJob{}
@@ -510,8 +522,10 @@
 		})
 		w.after(3*time.Second, func() { w.jobs[j.spec.ID] = j })
 	case "not_done":
+		w.given = w.now
 		w.hear(j, core.JobView{ID: j.spec.ID, State: core.Done})
 	case "went_back":
+		w.given = w.now
 		w.hear(j, core.JobView{ID: j.spec.ID, State: core.Cancelled})
 	case "nothing_ran":
 		w.started = 0
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -65,7 +67,7 @@
 		for _, g := range s.grants {
 			g.until = s.now.Add(g.ttl)
 		}
-		for id := range s.grants {
+		for _, id := range slices.Sorted(maps.Keys(s.grants)) {
 			s.watchGrant(id)
 		}
 		s.notify()
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -15,6 +15,8 @@
 	first    time.Time     // first attempt to submit
 	status   int           // the answer that ended the submission
 	accepted bool
+	since    time.Time     // when its user first heard that it is accepted
+	toldOn   time.Time     // when its user was told the state in told
 	told     core.JobState // the last state of consequence: "", done or cancelled
 	wants    bool          // its user asked to cancel it
 	toldAt   time.Time     // when it was told cancelled
@@ -27,7 +29,7 @@
 }
 
 func (w *world) request(op core.UserOp, j *userJob, id string, timeout time.Duration, f func(status int, a core.AnswerUser)) {
-	n := w.pickNode()
+	n := w.pickNode() // f learns in w.given when the node gave its answer
 	over := false
 	answer := func(status int, a core.AnswerUser) {
 		if !over {
@@ -54,7 +56,11 @@
 			return c
 		}, func(v any) {
 			a := v.(core.AnswerUser)
-			w.net.send(n.name, "user", func() { answer(a.Status, a) })
+			given := w.now
+			w.net.send(n.name, "user", func() {
+				w.given = given
+				answer(a.Status, a)
+			})
 		})
 	})
 }
@@ -95,7 +101,7 @@
 			w.after(w.spread(2500*time.Millisecond, 1), func() { w.poll(j) })
 		}
 	case 400, 422:
-		if j.accepted {
+		if j.accepted && w.given.After(j.since) {
 			w.fail("forgotten", "repeated submission of %s gets %d", j.spec.ID, status)
 		}
 		j.status = status
@@ -112,8 +118,13 @@
 // hear checks an answer against what the user was told before and against what
 // really happened.
 func (w *world) hear(j *userJob, v core.JobView) {
-	j.accepted = true
+	if !j.accepted {
+		j.accepted, j.since = true, w.now
+	}
 	if j.told != "" && v.State != j.told {
+		if !w.given.After(j.toldOn) {
+			return // given before, and overtaken on the way
+		}
 		w.fail("went_back", "%s was called %s, then %s", j.spec.ID, j.told, v.State)
 	}
 	switch v.State {
@@ -121,13 +132,13 @@
 		if len(j.done) < j.spec.Tasks {
 			w.fail("not_done", "%s is called done with %d of %d tasks", j.spec.ID, len(j.done), j.spec.Tasks)
 		}
-		j.told = v.State
+		j.told, j.toldOn = v.State, w.now
 	case core.Cancelled:
 		if !j.wants {
 			w.fail("went_back", "%s is called cancelled, its user did not cancel it", j.spec.ID)
 		}
 		if j.told == "" {
-			j.toldAt = w.now
+			j.toldAt, j.toldOn = w.now, w.now
 		}
 		j.told = v.State
 	}
@@ -142,7 +153,7 @@
 			w.answered = append(w.answered, w.now)
 			w.hear(j, a.View)
 		case 404:
-			if j.accepted {
+			if j.accepted && w.given.After(j.since) {
 				w.fail("forgotten", "accepted job %s gets 404", j.spec.ID)
 			}
 		default:
@@ -182,7 +193,7 @@
 		case 200:
 			w.hear(j, a.View)
 		case 404:
-			if j.accepted {
+			if j.accepted && w.given.After(j.since) {
 				w.fail("forgotten", "cancellation of accepted job %s gets 404", j.spec.ID)
 			}
 		default:
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -78,8 +78,14 @@
 	m.watchLease()
 }
 
+// watchLease ends the session when the lease does. A hanging machine can resume
+// only within its lease, so its tasks end with it all the same.
 func (m *worker) watchLease() {
-	m.at(m.answered.Add(m.lease+time.Millisecond), func() { m.do(func() {}) })
+	m.at(m.answered.Add(m.lease+time.Millisecond), func() {
+		if m.gone.IsZero() {
+			m.checkLease()
+		}
+	})
 }
 
 func (m *worker) checkLease() {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -32,6 +32,7 @@
 	broken             map[string]bool
 	started, refusals  int
 	polls              int
+	given              time.Time // when the answer at hand was given
 	answered, failures []time.Time
 	trace              func(string)
 }
