--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -209,6 +209,8 @@
 		switch {
 		case c.lead != l || !c.acts() || !known:
 			c.answer(call, unavailable("the state service does not answer"))
+		case l.jobs[call.ID] != nil || l.accept[call.ID] != nil:
+			c.serve(call) // accepted since the read began, which saw nothing of it
 		case v == nil:
 			missing()
 		case v.State == Done || v.State == Cancelled:
