Drain the dearest machine when its work fits on the others

Cause: after the last arrivals most machines, ordinary ones among them, stayed up for a few long tasks each. Ruled out: boot times (few machines boot in the tail).

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -66,6 +66,7 @@
 	idle   time.Time // since when nothing runs or is booked
 
 	releasing bool
+	draining  bool // its work fits elsewhere: no new tasks, then it goes back
 	condemned bool
 	lost      bool      // its lease is over and it has not reported since
 	leaving   time.Time // the cloud takes it away
@@ -107,7 +108,7 @@
 
 // usable reports whether new tasks may be booked on the machine.
 func (m *machine) usable() bool {
-	return m.flavor != nil && !m.releasing && !m.condemned && !m.lost && m.leaving.IsZero()
+	return m.flavor != nil && !m.releasing && !m.draining && !m.condemned && !m.lost && m.leaving.IsZero()
 }
 
 func (m *machine) room() timeline.Resources {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -33,6 +33,8 @@
 	listAt   time.Time
 	catalog  time.Time
 	backlog  time.Duration
+	load     float64 // CPUs that arrivals keep busy, as of loadAt
+	loadAt   time.Time
 	patience map[string]float64 // by type, how much longer than usual boots take at present
 	releases []string
 	freeing  bool
@@ -229,6 +231,7 @@
 	for _, m := range slices.Clone(l.fleet) {
 		c.review(m, silent, idle, cutOff)
 	}
+	c.consolidate()
 	c.rebook(24)
 	c.rentMore(secs(c.pol.RentBacklog(e)))
 	c.pumpReleases()
@@ -288,7 +291,7 @@
 	}
 	age := c.now.Sub(m.rentedAt)
 	switch {
-	case m.condemned, !m.leaving.IsZero():
+	case m.condemned, m.draining, !m.leaving.IsZero():
 		c.release(m)
 	case c.now.Sub(m.idle) > idle && age > 50*time.Second && !c.wanted(m):
 		c.note(slog.LevelInfo, "machine idle, returning it", "machine", m.host, "type", m.flavorName)
@@ -316,7 +319,7 @@
 // drain empties a machine that the cloud takes away or that is condemned: tasks
 // that will not be over in time save and go, the others finish.
 func (c *Core) drain(m *machine) {
-	if !m.condemned && m.leaving.IsZero() {
+	if !m.condemned && !m.draining && m.leaving.IsZero() {
 		return
 	}
 	for _, r := range m.runs {
@@ -326,6 +329,12 @@
 		left := m.leaving.Sub(c.now)
 		switch {
 		case m.condemned:
+		case m.leaving.IsZero():
+			// Only what saves is moved, and only when it has long to go.
+			s := &r.job.spec
+			if r.phase != TaskRuns || s.SnapshotEvery <= 0 || c.left(r) < 2*s.Snapshot+10*time.Second {
+				continue
+			}
 		case r.phase == TaskRuns && !r.job.spec.Service:
 			end := r.began.Add(c.estimate(r.job))
 			if end.Before(m.leaving) {
@@ -336,7 +345,7 @@
 			}
 		}
 		r.stop, r.drain = true, 0
-		if s := r.job.spec.Snapshot; r.job.spec.SnapshotEvery > 0 && (m.condemned || left > s) {
+		if s := r.job.spec.Snapshot; r.job.spec.SnapshotEvery > 0 && (m.leaving.IsZero() || left > s) {
 			r.drain = s + time.Second
 		}
 		m.dirty = true
@@ -344,6 +353,88 @@
 	}
 }
 
+// left is how long a run still takes, as far as we know.
+func (c *Core) left(r *run) time.Duration {
+	if r.job.spec.Service {
+		return timeline.Forever
+	}
+	return r.began.Add(c.estimate(r.job)).Sub(c.now)
+}
+
+// loadMemory is how long arrivals count towards the work to be expected.
+const loadMemory = 60 * time.Second
+
+// arrived takes note of a new job's work.
+func (c *Core) arrived(j *job) {
+	rent := &c.lead.rent
+	rent.load = c.expected()
+	rent.loadAt = c.now
+	secs := loadMemory.Seconds()
+	if !j.spec.Service {
+		secs = c.estimate(j).Seconds()
+	}
+	rent.load += float64(j.spec.Tasks) * float64(j.need.CPU) / 1000 * secs / loadMemory.Seconds()
+}
+
+// expected is how many CPUs the work of late arrivals keeps busy.
+func (c *Core) expected() float64 {
+	rent := &c.lead.rent
+	return rent.load * math.Exp(-c.now.Sub(rent.loadAt).Seconds()/loadMemory.Seconds())
+}
+
+// perCPU is what a CPU of the machine costs.
+func (m *machine) perCPU() float64 {
+	if m.reclaimable {
+		return m.flavor.LowRate / m.flavor.CPUs
+	}
+	return m.flavor.Rate / m.flavor.CPUs
+}
+
+// consolidate empties the machine that is the dearest to keep when what runs on
+// it fits on the others, with some room for what is to be expected.
+func (c *Core) consolidate() {
+	l := c.lead
+	used, free, draining := 0.0, 0.0, 0
+	var worst *machine
+	for _, m := range l.fleet {
+		if m.draining && !m.releasing {
+			draining++
+		}
+		if !m.usable() || !m.reported {
+			continue
+		}
+		u := float64(m.used.CPU) / 1000
+		used += u
+		free += float64(m.room().CPU) / 1000
+		if c.now.Sub(m.rentedAt) < 50*time.Second {
+			continue // it is paid for a minute anyway
+		}
+		if worst == nil || m.perCPU() > worst.perCPU()*1.01 ||
+			m.perCPU() > worst.perCPU()*0.99 && m.used.CPU*worst.tl.Capacity().CPU < worst.used.CPU*m.tl.Capacity().CPU {
+			worst = m
+		}
+	}
+	waits := len(l.queue) > 0 && l.rent.backlog > time.Second
+	if waits {
+		for _, m := range l.fleet {
+			if m.draining && !m.releasing && l.rent.backlog > 10*time.Second {
+				m.draining = false // needed after all
+			}
+		}
+		return
+	}
+	if worst == nil || draining > 1 || !l.settled() {
+		return
+	}
+	spare := free - worst.flavor.CPUs // what the others have, less what would move to them
+	if reserve := max(c.expected()-used, 0) + 0.1*used + 2; spare < reserve {
+		return
+	}
+	worst.draining = true
+	c.note(slog.LevelInfo, "machine drained", "machine", worst.host, "type", worst.flavorName, "cheap", worst.reclaimable, "tasks", len(worst.runs))
+	c.unbookMachine(worst)
+}
+
 // supply is how many CPUs are at hand or on their way.
 func (c *Core) supply(ordinaryOnly bool) (total, free float64) {
 	for _, m := range c.lead.fleet {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -274,6 +274,7 @@
 		done: func(uint64) {
 			delete(l.accept, s.ID)
 			j := c.addJob(rec, false)
+			c.arrived(j)
 			c.jobLoaded(j)
 			a.answerAll(c, AnswerUser{Status: 201, View: j.view()})
 		},
