--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -233,7 +233,7 @@
 	}
 	c.consolidate()
 	c.rebook(24)
-	c.rentMore(secs(c.pol.RentBacklog(e)))
+	c.rentMore(secs(c.pol.RentBacklog(e)), secs(c.pol.OrdinaryBacklog(e)))
 	c.pumpReleases()
 }
 
@@ -492,7 +492,7 @@
 
 // rentMore rents machines while the waiting work would take too long on those
 // at hand.
-func (c *Core) rentMore(bar time.Duration) {
+func (c *Core) rentMore(bar, ordinaryBar time.Duration) {
 	l := c.lead
 	if len(l.rent.flavors) == 0 || !c.acts() {
 		return
@@ -508,11 +508,11 @@
 		break
 	}
 	cpus, work, ocpus, owork := c.demand()
-	c.rentShortage(ocpus, owork, bar, true)
-	c.rentShortage(cpus, work, bar, false)
+	c.rentShortage(ocpus, owork, bar, 0, true)
+	c.rentShortage(cpus, work, bar, ordinaryBar, false)
 }
 
-func (c *Core) rentShortage(cpus, work float64, bar time.Duration, ordinary bool) {
+func (c *Core) rentShortage(cpus, work float64, bar, ordinaryBar time.Duration, ordinary bool) {
 	total, free := c.supply(ordinary)
 	// Enough to do the waiting work within the bar, but never more than could
 	// be used at once.
@@ -522,7 +522,7 @@
 	}
 	for short > 0.5 {
 		any := &JobSpec{Reclaimable: !ordinary}
-		got := c.rentFor(any, short, work/max(total, 1) > 3*bar.Seconds() || total == 0)
+		got := c.rentFor(any, short, work/max(total, 1) > ordinaryBar.Seconds())
 		if !got {
 			return
 		}
