Book all tasks of a job in time or none; what is late yields

Cause: large arrays that could not be in time took the latest slots of jobs that could, and their late tasks, booked at the earliest fit, went first.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -40,6 +40,7 @@
 	failures int             // since a task last completed
 	retryAt  time.Time       // not before this, after failures
 	any      bool            // a task has completed
+	missed   time.Time       // aims up to this are out of reach
 	took     observed        // seconds that its tasks took
 	books    []*booking      // places in the queue
 }
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -18,11 +18,23 @@
 }
 
 // waitQueue is all bookings in timeline order: by start, then by submission.
+// What cannot be in time any more yields to what still can.
 type waitQueue []*booking
 
+// lateYield is by how much a booking that misses its deadline anyway stands
+// back in the queue; beyond that it takes its turn, so that it never starves.
+const lateYield = 90 * time.Second
+
+func (b *booking) turn() time.Time {
+	if b.late {
+		return b.Start.Add(lateYield)
+	}
+	return b.Start
+}
+
 func (b *booking) before(o *booking) bool {
-	if !b.Start.Equal(o.Start) {
-		return b.Start.Before(o.Start)
+	if x := b.turn().Compare(o.turn()); x != 0 {
+		return x < 0
 	}
 	if !b.job.submitted.Equal(o.job.submitted) {
 		return b.job.submitted.Before(o.job.submitted)
@@ -75,23 +87,28 @@
 	return d
 }
 
-// deadline returns by when a task of the job, running for about length, should
-// be over: by the user's deadline and by the operators' objectives, whichever is
-// the most pressing that can still be met. An objective on waiting counts as a
-// deadline one run time later. False: nothing is left to be met.
-func (c *Core) deadline(j *job, length time.Duration) (time.Time, bool) {
-	var best time.Time
+// aim is something that a job's tasks should be in time for.
+type aim struct {
+	by    time.Time
+	whole bool // it takes all tasks to reach it; otherwise each one counts
+}
+
+// aim returns by when a task of the job, running for about length, should be
+// over: by the user's deadline and by the operators' objectives, whichever is
+// the most pressing that can still be reached. An objective on waiting counts
+// as a deadline one run time later. False: nothing is left to be reached.
+func (c *Core) aim(j *job, length time.Duration) (best aim, ok bool) {
 	if j.spec.Service {
 		return best, false
 	}
 	earliest := c.now.Add(length)
-	consider := func(t time.Time) {
-		if !t.Before(earliest) && (best.IsZero() || t.Before(best)) {
-			best = t
+	consider := func(t time.Time, whole bool) {
+		if !t.Before(earliest) && t.After(j.missed) && (!ok || t.Before(best.by)) {
+			best, ok = aim{t, whole}, true
 		}
 	}
 	if j.spec.Dated {
-		consider(j.submitted.Add(j.spec.Due))
+		consider(j.submitted.Add(j.spec.Due), true)
 	}
 	for _, o := range c.cfg.Settings.Objectives {
 		if o.Class != "" && o.Class != j.spec.Class {
@@ -100,16 +117,16 @@
 		within := o.Within.Duration()
 		switch o.Kind {
 		case "wait":
-			consider(j.submitted.Add(within + length))
+			consider(j.submitted.Add(within+length), false)
 		case "finished":
-			consider(j.submitted.Add(within))
+			consider(j.submitted.Add(within), true)
 		case "guarantee":
 			if j.team.guarantee.CPU > 0 || j.team.guarantee.GPU > 0 {
-				consider(j.submitted.Add(within + length))
+				consider(j.submitted.Add(within+length), false)
 			}
 		}
 	}
-	return best, !best.IsZero()
+	return best, ok
 }
 
 // from is when tasks can start on the machine at the earliest.
@@ -132,13 +149,33 @@
 
 // book reserves room for the job's waiting tasks: each time on the machine that
 // offers the latest feasible start, among ties the one with the most free room
-// now. When no machine can make the deadline they take the earliest fit.
+// now. When an aim that takes all tasks is out of reach for one of them, the
+// others give their slots back and the next aim is tried; a job with none left
+// takes the earliest fit.
 func (c *Core) book(j *job) {
 	if j.halted() {
 		return
 	}
+	base := time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
+	a, dated := c.aim(j, base)
 	for n := min(j.waiting, window) - j.booked; n > 0; n = min(j.waiting, window) - j.booked {
-		b := c.bestSlot(j, n)
+		b := c.bestSlot(j, n, a.by, dated)
+		if b == nil && dated && c.anyMachine(j) {
+			j.missed = a.by
+			if a.whole {
+				c.unbook(j)
+			}
+			a, dated = c.aim(j, base)
+			continue
+		}
+		if b == nil {
+			// No machine at all: keep the place in the queue.
+			at := c.now
+			if dated {
+				at = a.by.Add(-base)
+			}
+			b = &booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, false}
+		}
 		j.books = append(j.books, b)
 		j.booked += b.Count
 		c.lead.queue.add(b)
@@ -148,47 +185,40 @@
 	}
 }
 
-func (c *Core) bestSlot(j *job, n int) *booking {
-	base := time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
-	by, dated := c.deadline(j, base)
-	for {
-		var best *machine
-		var start time.Time
-		var length time.Duration
-		for _, m := range c.lead.fleet {
-			if !m.eligible(j) {
-				continue
-			}
-			d := c.length(j, m)
-			s, ok := c.slot(j, m, d, by, dated)
-			if !ok {
-				continue
-			}
-			better := best == nil
-			if !better && s.Equal(start) {
-				better = best.room().CPU < m.room().CPU
-			} else if !better {
-				better = s.After(start) == dated
-			}
-			if better {
-				best, start, length = m, s, d
-			}
-		}
-		if best != nil {
-			k := max(best.tl.Count(start, length, j.need, n), 1)
-			return &booking{timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, j, best, !dated}
+func (c *Core) anyMachine(j *job) bool {
+	return slices.ContainsFunc(c.lead.fleet, func(m *machine) bool { return m.eligible(j) })
+}
+
+// bestSlot finds room for up to n tasks on one machine, or nil.
+func (c *Core) bestSlot(j *job, n int, by time.Time, dated bool) *booking {
+	var best *machine
+	var start time.Time
+	var length time.Duration
+	for _, m := range c.lead.fleet {
+		if !m.eligible(j) {
+			continue
 		}
-		if dated {
-			dated = false
+		d := c.length(j, m)
+		s, ok := c.slot(j, m, d, by, dated)
+		if !ok {
 			continue
 		}
-		// No machine at all: keep the place in the queue.
-		at := c.now
-		if by.After(c.now) {
-			at = by.Add(-base)
+		better := best == nil
+		if !better && s.Equal(start) {
+			better = best.room().CPU < m.room().CPU
+		} else if !better {
+			better = s.After(start) == dated
+		}
+		if better {
+			best, start, length = m, s, d
 		}
-		return &booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, false}
 	}
+	if best == nil {
+		return nil
+	}
+	k := max(best.tl.Count(start, length, j.need, n), 1)
+	late := !dated && !j.missed.IsZero()
+	return &booking{timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, j, best, late}
 }
 
 // drop takes a booking away whole.
@@ -246,25 +276,24 @@
 	c.lead.dirty = true
 }
 
-// rebook finds new slots for bookings whose time has come without room, and for
-// those that have no machine. A few at a time: it is the costliest thing we do.
+// rebook finds new slots for jobs that have bookings whose time has come without
+// room, or none on a machine. A few at a time: it is the costliest thing we do.
 func (c *Core) rebook(limit int) {
-	var due []*booking
+	var due []*job
 	for _, b := range c.lead.queue {
 		if len(due) >= limit {
 			break
 		}
-		if b.m == nil || b.Start.Before(c.now.Add(-300*time.Millisecond)) {
-			due = append(due, b)
+		if (b.m == nil || b.Start.Before(c.now.Add(-300*time.Millisecond))) && !slices.Contains(due, b.job) {
+			due = append(due, b.job)
 		}
 	}
-	for _, b := range due {
-		j := b.job
-		if j.halted() {
-			continue
+	for _, j := range due {
+		if !j.halted() {
+			c.unbook(j)
+			j.missed = time.Time{} // room may have come free: look at all aims again
+			c.book(j)
 		}
-		c.drop(b)
-		c.book(j)
 	}
 }
 
