--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -25,6 +25,7 @@
 // back in the queue; beyond that it takes its turn, so that it never starves.
 const lateYield = 90 * time.Second
 
+// turn is the booking's place in the queue.
 func (b *booking) turn() time.Time {
 	if b.late {
 		return b.Start.Add(lateYield)
