Keep some room warm for jobs that must start at once

Cause, from logs at the arrival of urgent jobs: no CPU was free for most of them, and of what was free a third to a half had its report held.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -19,6 +19,7 @@
 	rec       *JobRecord
 	earlier   bool // accepted in an earlier term: its tasks may be anywhere
 	team      *team
+	prompt    bool // must start at once
 
 	done    bitset       // completed
 	pending bitset       // neither done nor on a machine
@@ -53,7 +54,7 @@
 		submitted: c.now.Add(rec.Submitted.Sub(c.now.Round(0))),
 		done:      newBitset(s.Tasks), pending: newBitset(s.Tasks), left: s.Tasks,
 		runs: map[int]*run{}, chunkRev: map[int]uint64{}, dirty: map[int]bool{}, errHosts: map[string]bool{},
-		team: c.lead.teams[s.Owner],
+		team: c.lead.teams[s.Owner], prompt: c.promptly(s.Class),
 	}
 	if j.team == nil { // the team has left the settings: its jobs still run
 		j.team = &team{}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -62,6 +62,7 @@
 	tl     *timeline.Timeline
 	runs   []*run
 	used   timeline.Resources
+	warm   int64 // CPUs, in thousandths, kept free for work that must start at once
 	images map[string]bool
 	idle   time.Time // since when nothing runs or is booked
 
@@ -459,7 +460,7 @@
 		return
 	}
 	hold := c.lead.holdIdle
-	if len(m.runs) > 0 {
+	if len(m.runs) > 0 && (m.warm == 0 || m.room().CPU < m.warm/2) {
 		hold = c.lead.holdBusy
 		if !m.usable() || m.room().CPU < l.rent.leastCPU {
 			hold = 0
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -1,10 +1,12 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
 
+	"yewpass/internal/config"
 	"yewpass/internal/timeline"
 )
 
@@ -130,6 +132,34 @@
 	return best, ok
 }
 
+// promptly reports whether jobs of the class have an objective on waiting that
+// holds whatever their team.
+func (c *Core) promptly(class string) bool {
+	return slices.ContainsFunc(c.cfg.Settings.Objectives, func(o config.Objective) bool {
+		return o.Kind == "wait" && (o.Class == "" || o.Class == class)
+	})
+}
+
+// keepWarm shares out the room that is kept free for jobs that must start at
+// once: as much as such a job usually takes, on the machines with the most CPUs,
+// where one report serves many tasks.
+func (c *Core) keepWarm(part float64) {
+	l := c.lead
+	left := int64(l.rent.burst * part * 1000)
+	if c.now.Sub(l.rent.burstAt) > loadMemory {
+		left = 0
+	}
+	fleet := slices.Clone(l.fleet)
+	slices.SortStableFunc(fleet, func(a, b *machine) int { return cmp.Compare(b.tl.Capacity().CPU, a.tl.Capacity().CPU) })
+	for _, m := range fleet {
+		m.warm = 0
+		if left > 0 && m.usable() && m.reported {
+			m.warm = min(left, m.tl.Capacity().CPU/4)
+			left -= m.warm
+		}
+	}
+}
+
 // from is when tasks can start on the machine at the earliest.
 func (c *Core) from(m *machine) time.Time {
 	if !m.reported && m.readyAt.After(c.now) {
@@ -345,7 +375,11 @@
 		if m.suspect && len(m.runs) > 0 {
 			break // one task at a time shows whether the machine works
 		}
-		n := j.need.Times(room, b.Count)
+		have := room
+		if m.warm > 0 && !j.prompt {
+			have.CPU -= m.warm
+		}
+		n := j.need.Times(have, b.Count)
 		if n == 0 {
 			blocked = blocked || b.m == m
 			continue
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -35,6 +35,8 @@
 	backlog  time.Duration
 	load     float64 // CPUs that arrivals keep busy, as of loadAt
 	loadAt   time.Time
+	burst    float64 // CPUs that a job takes which must start at once
+	burstAt  time.Time
 	patience map[string]float64 // by type, how much longer than usual boots take at present
 	releases []string
 	freeing  bool
@@ -231,6 +233,7 @@
 	for _, m := range slices.Clone(l.fleet) {
 		c.review(m, silent, idle, cutOff)
 	}
+	c.keepWarm(c.pol.Warm(e))
 	c.consolidate()
 	c.rebook(24)
 	c.rentMore(secs(c.pol.RentBacklog(e)), secs(c.pol.OrdinaryBacklog(e)))
@@ -373,6 +376,14 @@
 	if !j.spec.Service {
 		secs = c.estimate(j).Seconds()
 	}
+	if j.prompt {
+		cpus := float64(j.spec.Tasks) * float64(j.need.CPU) / 1000
+		if rent.burstAt.IsZero() {
+			rent.burst = cpus
+		}
+		rent.burst += 0.15 * (cpus - rent.burst)
+		rent.burstAt = c.now
+	}
 	rent.load += float64(j.spec.Tasks) * float64(j.need.CPU) / 1000 * secs / loadMemory.Seconds()
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -31,8 +31,8 @@
 
 // Policy is a checked set of expressions. It is not for concurrent use.
 type Policy struct {
-	refuse                                                   *vm.Program
-	margin, rent, ordinary, idle, silent, holdIdle, holdBusy *vm.Program
+	refuse                                                         *vm.Program
+	margin, warm, rent, ordinary, idle, silent, holdIdle, holdBusy *vm.Program
 }
 
 // Load returns the defaults, overridden by the file at path unless it is empty.
@@ -69,7 +69,7 @@
 	}
 	p := &Policy{}
 	progs := map[string]**vm.Program{
-		"refuse": &p.refuse, "margin": &p.margin, "rent_backlog_s": &p.rent, "ordinary_backlog_s": &p.ordinary, "idle_return_s": &p.idle,
+		"refuse": &p.refuse, "margin": &p.margin, "warm": &p.warm, "rent_backlog_s": &p.rent, "ordinary_backlog_s": &p.ordinary, "idle_return_s": &p.idle,
 		"silent_release_s": &p.silent, "hold_idle_s": &p.holdIdle, "hold_busy_s": &p.holdBusy,
 	}
 	names := make([]string, 0, len(progs))
@@ -122,6 +122,10 @@
 // RentBacklog is the backlog in seconds above which machines are rented.
 func (p *Policy) RentBacklog(e Env) float64 { return number(p.rent, e) }
 
+// Warm is how much room is kept free for jobs that must start at once, as a
+// multiple of what such a job usually takes.
+func (p *Policy) Warm(e Env) float64 { return number(p.warm, e) }
+
 // OrdinaryBacklog is the backlog in seconds above which ordinary machines are
 // rented when cheap ones cannot be had.
 func (p *Policy) OrdinaryBacklog(e Env) float64 { return number(p.ordinary, e) }
