--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -434,7 +434,7 @@
 		}
 		return
 	}
-	if worst == nil || draining > 1 || !l.settled() {
+	if worst == nil || draining > len(l.fleet)/3 || !l.settled() {
 		return
 	}
 	spare := free - worst.flavor.CPUs // what the others have, less what would move to them
