--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -229,9 +229,13 @@
 			}
 		}
 	}
+	takeover := silent
+	if 2*len(l.owed) < reporting {
+		takeover = secs(c.pol.TakeoverRelease(e))
+	}
 	cutOff := quiet > 2 && 2*quiet > reporting
 	for _, m := range slices.Clone(l.fleet) {
-		c.review(m, silent, idle, cutOff)
+		c.review(m, silent, takeover, idle, cutOff)
 	}
 	c.keepWarm(c.pol.Warm(e))
 	c.consolidate()
@@ -241,7 +245,7 @@
 }
 
 // review looks after one machine.
-func (c *Core) review(m *machine, silent, idle time.Duration, cutOff bool) {
+func (c *Core) review(m *machine, silent, takeover, idle time.Duration, cutOff bool) {
 	l := c.lead
 	if (len(m.runs) > 0 || l.owed[m.host]) && (m.reported || l.owed[m.host]) {
 		if at, ok := c.leaseOver(m); ok && c.now.After(at) {
@@ -251,6 +255,11 @@
 	if m.releasing {
 		return
 	}
+	if l.owed[m.host] && !m.reported && takeover < silent {
+		// Everything waits for it. When most others have found us, it is gone
+		// or cut off.
+		silent = takeover
+	}
 	last := m.seen
 	if !m.reported {
 		last = maxTime(m.seen, maxTime(m.since, l.since))
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -31,8 +31,8 @@
 
 // Policy is a checked set of expressions. It is not for concurrent use.
 type Policy struct {
-	refuse                                                         *vm.Program
-	margin, warm, rent, ordinary, idle, silent, holdIdle, holdBusy *vm.Program
+	refuse                                                                   *vm.Program
+	margin, warm, rent, ordinary, idle, silent, takeover, holdIdle, holdBusy *vm.Program
 }
 
 // Load returns the defaults, overridden by the file at path unless it is empty.
@@ -70,7 +70,7 @@
 	p := &Policy{}
 	progs := map[string]**vm.Program{
 		"refuse": &p.refuse, "margin": &p.margin, "warm": &p.warm, "rent_backlog_s": &p.rent, "ordinary_backlog_s": &p.ordinary, "idle_return_s": &p.idle,
-		"silent_release_s": &p.silent, "hold_idle_s": &p.holdIdle, "hold_busy_s": &p.holdBusy,
+		"silent_release_s": &p.silent, "takeover_release_s": &p.takeover, "hold_idle_s": &p.holdIdle, "hold_busy_s": &p.holdBusy,
 	}
 	names := make([]string, 0, len(progs))
 	for name := range progs {
@@ -136,6 +136,10 @@
 // SilentRelease is the silence in seconds after which a machine is released.
 func (p *Policy) SilentRelease(e Env) float64 { return number(p.silent, e) }
 
+// TakeoverRelease is SilentRelease for a machine that a new leader has not heard
+// of while most others have reported to it.
+func (p *Policy) TakeoverRelease(e Env) float64 { return number(p.takeover, e) }
+
 // HoldIdle and HoldBusy are how long a report's reply is held, in seconds.
 func (p *Policy) HoldIdle(e Env) float64 { return number(p.holdIdle, e) }
 
