--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,8 +28,8 @@
 // Times of the leader's grant. The protocol bounds the drift of steady clocks
 // at 0.05%; margins below take twice that.
 const (
-	grantTTL    = 3 * time.Second
-	renewEvery  = 600 * time.Millisecond
+	grantTTL    = 2 * time.Second
+	renewEvery  = 400 * time.Millisecond
 	storeWithin = 1500 * time.Millisecond
 	driftPart   = 1000 // a thousandth
 	slack       = 200 * time.Millisecond
