--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -415,6 +415,8 @@
 		hosts := map[string]bool{}
 		if n := s.node(f[1]); n != nil {
 			hosts[n.name] = true
+		} else if f[1] == "user" {
+			hosts["user"] = true
 		} else if zone, ok := strings.CutPrefix(f[1], "zone="); ok {
 			for _, m := range w.cloud.machines {
 				if m.zone == zone {
