--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,174 @@
+package api
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+// serve runs a server whose core is answered by f, and returns its address.
+func serve(t *testing.T, f func(in any) any) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	inbox := make(chan any, 16)
+	var ready atomic.Bool
+	go Serve(ln, 16, inbox, &ready)
+	go func() {
+		for in := range inbox {
+			if c, ok := in.(Call); ok {
+				c.Reply <- f(c.Input)
+			}
+		}
+	}()
+	t.Cleanup(func() { ln.Close() })
+	return "http://" + ln.Addr().String()
+}
+
+const good = `{"id":"wk-000412","jobclass":"train","owner":"vision","shape":"array","urgency":"urgent","shards":16,
+"vcpus":8.0,"gpus":1.0,"memGb":64.0,"bundle":"img-07","sizeGb":6.2,"flavors":["g8"],"hall":null,"samePlace":true,
+"apart":false,"reclaimable":true,"runtimeS":240.0,"snapshotEveryS":30.0,"snapshotS":4.0,"dueS":900.0,"new":[1]}`
+
+func post(t *testing.T, url, body string) (int, map[string]any, http.Header) {
+	t.Helper()
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	var v map[string]any
+	if err := json.Unmarshal(data, &v); err != nil {
+		t.Errorf("answer is not JSON: %q", data)
+	}
+	return resp.StatusCode, v, resp.Header
+}
+
+func TestSubmit(t *testing.T) {
+	var got *core.JobSpec
+	url := serve(t, func(in any) any {
+		got = in.(core.UserCall).Spec
+		return core.AnswerUser{Status: 201, View: core.JobView{State: core.Queued}}
+	})
+	status, v, _ := post(t, url+"/v2/runs", good)
+	if status != 201 || v["id"] != "wk-000412" || v["status"] != "queued" {
+		t.Fatal(status, v)
+	}
+	if got.Tasks != 16 || got.Urgency != core.Urgent || got.Due != 900*time.Second || !got.Dated || got.Zone != "" || got.Runtime != 240*time.Second {
+		t.Errorf("%+v", got)
+	}
+	edit := func(from, to string) string {
+		if !strings.Contains(good, from) {
+			t.Fatal("no", from)
+		}
+		return strings.Replace(good, from, to, 1)
+	}
+	for _, c := range []struct{ name, body, field string }{
+		{"not JSON", `{"id":`, ""},
+		{"no object", `[1]`, ""},
+		{"null", `null`, "id"},
+		{"empty", ``, ""},
+		{"too large", good[:len(good)-1] + `,"x":"` + strings.Repeat("y", 64<<10) + `"}`, ""},
+		{"no id", edit(`"id":"wk-000412",`, ``), "id"},
+		{"bad id", edit(`wk-000412`, `job-1`), "id"},
+		{"bad digits", edit(`wk-000412`, `wk-0x1`), "id"},
+		{"null where it may not be", edit(`"owner":"vision"`, `"owner":null`), "owner"},
+		{"wrong type", edit(`"shards":16`, `"shards":"16"`), "shards"},
+		{"no whole number", edit(`"shards":16`, `"shards":1.5`), "shards"},
+		{"no tasks", edit(`"shards":16`, `"shards":0`), "shards"},
+		{"too many tasks", edit(`"shards":16`, `"shards":100001`), "shards"},
+		{"unknown shape", edit(`"array"`, `"ensemble"`), "shape"},
+		{"unknown urgency", edit(`"urgent"`, `"soon"`), "urgency"},
+		{"negative", edit(`"vcpus":8.0`, `"vcpus":-1`), "vcpus"},
+		{"out of range", edit(`"memGb":64.0`, `"memGb":1e300`), "memGb"},
+		{"flag missing", edit(`"apart":false,`+"", ``), "apart"},
+		{"bad list", edit(`["g8"]`, `[3]`), "flavors"},
+		{"empty list", edit(`["g8"]`, `[]`), "flavors"},
+	} {
+		status, v, _ := post(t, url+"/v2/runs", c.body)
+		if status != 400 || c.field != "" && v["field"] != c.field {
+			t.Errorf("%s: %d %v, want 400 for %q", c.name, status, v, c.field)
+		}
+	}
+	for _, omit := range []string{`"flavors":["g8"],`, `"hall":null,`, `,"dueS":900.0`} {
+		if status, v, _ := post(t, url+"/v2/runs", edit(omit, ``)); status != 201 {
+			t.Errorf("without %s: %d %v", omit, status, v)
+		}
+	}
+}
+
+func TestOtherRequests(t *testing.T) {
+	url := serve(t, func(in any) any {
+		if in.(core.UserCall).Op == core.OpCancel {
+			return core.AnswerUser{Status: 429, RetryAfter: 1500 * time.Millisecond, Reason: "later"}
+		}
+		return core.AnswerUser{Status: 200, View: core.JobView{State: core.Running, Done: 3, Running: 13}}
+	})
+	get := func(method, path string) int {
+		req, _ := http.NewRequest(method, url+path, nil)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{
+		{"GET", "/v2/runs/wk-1", 200}, {"GET", "/v2/runs/nonsense", 404}, {"GET", "/v2/runs/wk-1/x", 404}, {"GET", "/nowhere", 404},
+		{"DELETE", "/v2/runs/wk-1", 405}, {"GET", "/v2/runs", 405}, {"PUT", "/hello", 405}, {"GET", "/ready", 503}, {"GET", "/metrics", 200},
+	} {
+		if got := get(c.method, c.path); got != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
+		}
+	}
+	if status, _, h := post(t, url+"/v2/runs/wk-1/cancel", ""); status != 429 || h.Get("Retry-After") != "2" {
+		t.Errorf("cancel: %d, Retry-After %q", status, h.Get("Retry-After"))
+	}
+}
+
+func TestReport(t *testing.T) {
+	var got core.Report
+	url := serve(t, func(in any) any {
+		got = in.(core.ReportIn).Report
+		if got.Host == "elsewhere" {
+			return core.AnswerReport{Status: 421, Upstream: "n2"}
+		}
+		return core.AnswerReport{Status: 200, Epoch: 41, Orders: []core.Order{
+			{Verb: core.Start, Task: core.TaskID{Job: "wk-1", Index: 4}, Try: 2},
+			{Verb: core.Stop, Task: core.TaskID{Job: "wk-2", Index: 1}, Try: 1, Drain: 10 * time.Second}}}
+	})
+	body := `{"host":"host-000231","address":"10.1.0.232:9000","flavor":"g8","hall":"a","reclaimable":true,"tenure":1,"counter":88,
+"epoch":41,"warningS":null,"shards":[{"shard":"wk-000412/3","try":2,"status":"running"},{"shard":"wk-000398/0","try":1,"status":"exited","cause":"done"}]}`
+	status, v, _ := post(t, url+"/hello", body)
+	orders, _ := v["orders"].([]any)
+	if status != 200 || v["epoch"] != 41.0 || len(orders) != 2 {
+		t.Fatal(status, v)
+	}
+	if stop := orders[1].(map[string]any); stop["drainS"] != 10.0 || stop["shard"] != "wk-2/1" {
+		t.Error(stop)
+	}
+	if len(got.Tasks) != 2 || got.Tasks[0].Task != (core.TaskID{Job: "wk-000412", Index: 3}) || got.HasNotice || got.Counter != 88 {
+		t.Errorf("%+v", got)
+	}
+	if status, v, _ := post(t, url+"/hello", strings.Replace(body, "host-000231", "elsewhere", 1)); status != 421 || v["upstream"] != "n2" {
+		t.Error(status, v)
+	}
+	for _, c := range [][2]string{{`"tenure":1,`, ``}, {`"counter":88,`, ``}, {`"tenure":1`, `"tenure":"x"`}, {`"host":"host-000231"`, `"host":""`},
+		{`wk-000412/3`, `wk-000412`}, {`wk-000412/3`, `wk-000412/-1`}, {`"try":2`, `"try":-2`}, {`"hall":"a"`, `"hall":null`}} {
+		if status, v, _ := post(t, url+"/hello", strings.Replace(body, c[0], c[1], 1)); status != 400 {
+			t.Errorf("%s: %d %v", c[1], status, v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+host_name = "hostbox-0"
+site = "north"
+client_listen = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+unknown = [1, 2]
+[[seeds]]
+host_name = "hostbox-1"
+endpoint = "10.0.0.2:8081"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+nodes = 2
+[[settings.teams]]
+name = "ops"
+cpus = 5.0
+[settings.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 40.0
+[settings.state]
+rps = 250.0
+write_rps = 100.0
+value_kb = 16.0
+txn_ops = 48
+[settings.cloud]
+rps = 6.0
+list_lag_s = 3.0
+[settings.machine_limits]
+cpu_share = 0.096
+mem_mb = 98.0
+max_connections = 800
+`
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Settings.Workers.Lease.Duration().Seconds() != 20 || c.Settings.Teams[0].CPUs != 5 || c.Seeds[0].HostName != "hostbox-1" {
+		t.Errorf("%+v", c)
+	}
+	for _, x := range []struct{ from, to, field string }{
+		{`host_name = "hostbox-0"`, ``, "host_name"},
+		{`client_listen = "10.0.0.1:8080"`, `client_listen = "10.0.0.1"`, "client_listen"},
+		{`"hostbox-1"`, `"hostbox-0"`, "seeds[0].host_name"},
+		{`endpoint = "10.0.0.2:8081"`, ``, "seeds[0].endpoint"},
+		{`state = "10.2.0.1:2379"`, ``, "external.state"},
+		{`cpus = 5.0`, `cpus = -5.0`, "settings.teams[0]"},
+		{`lease_s = 20.0`, ``, "settings.workers.lease_s"},
+		{`txn_ops = 48`, `txn_ops = "x"`, "settings.state.txn_ops"},
+		{`mem_mb = 98.0`, `mem_mb = nan`, "settings.machine_limits.mem_mb"},
+		{`nodes = 2`, `nodes = `, "line"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, x.from, x.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line that names %s", x.to, err, x.field)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/client_test.go
@@ -0,0 +1,65 @@
+package state
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+// TestDecode: what is malformed or unexpected is an unknown outcome, never a
+// success.
+func TestDecode(t *testing.T) {
+	for _, c := range []struct {
+		op     core.StoreOp
+		status int
+		body   string
+		want   core.Outcome
+	}{
+		{core.StoreTxn, 200, `{"storeRev":432}`, core.OK},
+		{core.StoreTxn, 200, `{}`, core.Unknown},
+		{core.StoreTxn, 200, `not json`, core.Unknown},
+		{core.StoreTxn, 409, `{"failed":["a"],"storeRev":3}`, core.Conflict},
+		{core.StoreTxn, 409, `{}`, core.Unknown},
+		{core.StoreTxn, 400, ``, core.Invalid},
+		{core.StoreTxn, 429, ``, core.Refused},
+		{core.StoreTxn, 503, ``, core.Refused},
+		{core.StoreTxn, 500, ``, core.Unknown},
+		{core.StoreTxn, 204, ``, core.Unknown},
+		{core.StoreGet, 404, `{"storeRev":1}`, core.Missing},
+		{core.StoreGet, 200, `{"k":"a","v":{},"keyRev":4}`, core.OK},
+		{core.StoreGet, 200, `{"storeRev":4}`, core.Unknown},
+		{core.StoreList, 200, `{"entries":[],"truncated":false,"storeRev":1}`, core.OK},
+		{core.StoreList, 200, `{}`, core.Unknown},
+		{core.StoreGrant, 200, `{"grant":7}`, core.OK},
+		{core.StoreGrant, 200, `{"grant":"7"}`, core.Unknown},
+		{core.StoreExtend, 404, ``, core.Missing},
+		{core.StoreExtend, 200, ``, core.OK},
+		{core.StoreFollow, 410, ``, core.Missing},
+	} {
+		if got := Decode(c.op, c.status, []byte(c.body)); got.Outcome != c.want {
+			t.Errorf("%v %d %s: %v, want %v", c.op, c.status, c.body, got.Outcome, c.want)
+		}
+	}
+}
+
+// TestRecords: what is written is read back; what is not a record is none.
+func TestRecords(t *testing.T) {
+	in := &core.JobRecord{Spec: core.JobSpec{ID: "wk-1", Class: "c", Owner: "o", Tasks: 5, CPUs: 1.5, Urgency: core.Urgent, Image: "i",
+		Flavors: []string{"f"}, Runtime: 90 * time.Second, Due: time.Minute, Dated: true}, Submitted: time.UnixMilli(1234567), Cancelled: true}
+	data, err := json.Marshal(encodeValue(in))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, ok := decodeEntry(entryJSON{K: "live/job/wk-1", V: data, KeyRev: 3}).Value.(*core.JobRecord)
+	if !ok || out.Spec.Runtime != in.Spec.Runtime || out.Spec.Flavors[0] != "f" || !out.Cancelled || !out.Submitted.Equal(in.Submitted) || !out.Spec.Dated {
+		t.Errorf("%+v", out)
+	}
+	for _, bad := range []string{`{}`, `[]`, `{"type":"job"}`, `{"type":"job","spec":{"id":"wk-1","tasks":0}}`, `{"type":"job","spec":{"id":"wk-2","tasks":1}}`,
+		`{"type":"final","state":"queued"}`, `{"type":"leader"}`} {
+		if e := decodeEntry(entryJSON{K: "live/job/wk-1", V: []byte(bad)}); e.Value != nil {
+			t.Errorf("%s is taken for a record", bad)
+		}
+	}
+}
