--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -260,6 +260,10 @@
 		// or cut off.
 		silent = takeover
 	}
+	if !m.leaving.IsZero() && c.now.After(m.leaving.Add(time.Second)) {
+		// Its notice has run out: a report that is a little overdue says enough.
+		silent = min(silent, c.report*3/4)
+	}
 	last := m.seen
 	if !m.reported {
 		last = maxTime(m.seen, maxTime(m.since, l.since))
