--- /dev/null
+++ b/internal/core/giveback.go
@@ -0,0 +1,105 @@
+package core
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"yewpass/internal/timeline"
+)
+
+// owesAfter is how long work within a guarantee waits before borrowers have to
+// give back: an ordinary end of a task often makes the room sooner.
+const owesAfter = 4 * time.Second
+
+// giveBack stops tasks that teams run beyond their own guarantee where another
+// team waits for its own. Those go first that lose the least; tasks that save
+// are let save.
+func (c *Core) giveBack() {
+	l := c.lead
+	if !l.settled() {
+		return
+	}
+	room := timeline.Resources{}
+	stopping := timeline.Resources{}
+	for _, m := range l.fleet {
+		if m.usable() && m.reported {
+			room = room.Add(m.room(), 1)
+		}
+		for _, r := range m.runs {
+			if r.stop && r.holds {
+				stopping = stopping.Add(r.need, 1)
+			}
+		}
+	}
+	short := int64(0)
+	seen := map[*team]int64{}
+	for _, b := range l.queue {
+		j := b.job
+		t := j.team
+		if t.guarantee.CPU == 0 || !c.mayStart(j) || c.now.Sub(j.submitted) < owesAfter || t.used.CPU+j.need.CPU > t.guarantee.CPU {
+			continue
+		}
+		left, ok := seen[t]
+		if !ok {
+			left = t.guarantee.CPU - t.used.CPU
+		}
+		n := min(left, int64(b.Count)*j.need.CPU)
+		seen[t] = left - n
+		short += n
+	}
+	short -= room.CPU + stopping.CPU
+	if short <= 0 {
+		return
+	}
+	type borrower struct {
+		r    *run
+		loss time.Duration
+	}
+	var bs []borrower
+	for _, m := range l.fleet {
+		if !m.usable() || !m.reported {
+			continue
+		}
+		for _, r := range m.runs {
+			if !r.holds || r.stop || r.phase != TaskRuns || r.job.team.used.CPU <= r.job.team.guarantee.CPU {
+				continue
+			}
+			// What cannot save loses all: it is stopped only when it has hardly
+			// begun and would keep the room for long.
+			loss := r.job.spec.Snapshot
+			if r.job.spec.SnapshotEvery <= 0 {
+				loss = c.now.Sub(r.began)
+				if !r.job.spec.Service && c.left(r) < 6*loss+time.Minute {
+					continue
+				}
+			}
+			bs = append(bs, borrower{r, loss})
+		}
+	}
+	slices.SortStableFunc(bs, func(a, b borrower) int { return cmp.Compare(a.loss, b.loss) })
+	over := map[*team]int64{}
+	stopped := 0
+	for _, b := range bs {
+		t := b.r.job.team
+		if _, ok := over[t]; !ok {
+			over[t] = t.used.CPU - t.guarantee.CPU
+		}
+		if short <= 0 || over[t] < b.r.need.CPU {
+			continue
+		}
+		over[t] -= b.r.need.CPU
+		short -= b.r.need.CPU
+		b.r.stop = true
+		if b.r.job.spec.SnapshotEvery > 0 {
+			b.r.drain = b.r.job.spec.Snapshot + time.Second
+		}
+		b.r.m.dirty = true
+		stopped++
+	}
+	if stopped > 0 {
+		l.dirty = true
+		c.note(slog.LevelInfo, "borrowers give back", "tasks", stopped)
+	}
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -23,12 +23,13 @@
 
 	waiting []ReportIn // reports that came while loading
 
-	pipe   pipeline
-	jobs   map[string]*job
-	accept map[string]*accepting
-	teams  map[string]*team
-	queue  waitQueue
-	est    estimates
+	pipe       pipeline
+	jobs       map[string]*job
+	accept     map[string]*accepting
+	teams      map[string]*team
+	guarantees bool // some team has one
+	queue      waitQueue
+	est        estimates
 
 	machines map[string]*machine
 	fleet    []*machine      // the same, by name
@@ -166,6 +167,7 @@
 	}
 	for _, t := range c.cfg.Settings.Teams {
 		c.lead.teams[t.Name] = newTeam(t)
+		c.lead.guarantees = c.lead.guarantees || t.CPUs > 0 || t.GPUs > 0
 	}
 	c.note(slog.LevelInfo, "leadership won", "term", term)
 	c.announce()
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -366,10 +366,19 @@
 	var os []Order
 	room := m.room()
 	blocked := false
-	for i := 0; i < len(l.queue) && room.CPU > 0 && len(os) < 256; i++ {
+	// What lies within a team's guarantee goes first: borrowing is for what is
+	// left unused.
+	for borrowing, i := !l.guarantees, 0; room.CPU > 0 && len(os) < 256; i++ {
+		if i >= len(l.queue) {
+			if borrowing {
+				break
+			}
+			borrowing, i = true, -1
+			continue
+		}
 		b := l.queue[i]
 		j := b.job
-		if !m.eligible(j) || !c.mayStart(j) {
+		if !borrowing && j.team.guaranteed(j.need, 1) == 0 || !m.eligible(j) || !c.mayStart(j) {
 			continue
 		}
 		if m.suspect && len(m.runs) > 0 {
@@ -399,6 +408,9 @@
 			}
 		}
 		n = j.team.room(j.need, n)
+		if !borrowing {
+			n = j.team.guaranteed(j.need, n)
+		}
 		n = c.placeRoom(j, m, n)
 		if m.suspect || j.failures > 0 && !j.any {
 			n = min(n, max(0, 1-len(j.runs)))
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -238,6 +238,7 @@
 		c.review(m, silent, takeover, idle, cutOff)
 	}
 	c.keepWarm(c.pol.Warm(e))
+	c.giveBack()
 	c.consolidate()
 	c.rebook(24)
 	c.rentMore(secs(c.pol.RentBacklog(e)), secs(c.pol.OrdinaryBacklog(e)))
--- a/internal/core/teams.go
+++ b/internal/core/teams.go
@@ -40,3 +40,17 @@
 	}
 	return max(n, 0)
 }
+
+// guaranteed says how many more tasks lie within the team's guarantee, at most n.
+func (t *team) guaranteed(need timeline.Resources, n int) int {
+	if t.guarantee.CPU == 0 && t.guarantee.GPU == 0 {
+		return 0
+	}
+	if need.CPU > 0 {
+		n = min(n, int((t.guarantee.CPU-t.used.CPU)/need.CPU))
+	}
+	if need.GPU > 0 {
+		n = min(n, int((t.guarantee.GPU-t.used.GPU)/need.GPU))
+	}
+	return max(n, 0)
+}
