What was never going to be in time does not yield

Cause: jobs whose tasks run longer than any aim allows counted as late from the start, ran last and kept machines up at the end.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -101,12 +101,17 @@
 // the most pressing that can still be reached. An objective on waiting counts
 // as a deadline one run time later. False: nothing is left to be reached.
 func (c *Core) aim(j *job, length time.Duration) (best aim, ok bool) {
+	return c.aimFrom(j, c.now, j.missed, length)
+}
+
+// aimFrom is aim at the time from, for aims after missed.
+func (c *Core) aimFrom(j *job, from, missed time.Time, length time.Duration) (best aim, ok bool) {
 	if j.spec.Service {
 		return best, false
 	}
-	earliest := c.now.Add(length)
+	earliest := from.Add(length)
 	consider := func(t time.Time, whole bool) {
-		if !t.Before(earliest) && t.After(j.missed) && (!ok || t.Before(best.by)) {
+		if !t.Before(earliest) && t.After(missed) && (!ok || t.Before(best.by)) {
 			best, ok = aim{t, whole}, true
 		}
 	}
@@ -248,7 +253,12 @@
 		return nil
 	}
 	k := max(best.tl.Count(start, length, j.need, n), 1)
-	late := !dated && !j.missed.IsZero()
+	late := false
+	if !dated {
+		// What was never going to be in time does not yield: its tasks are long,
+		// and begun late they would keep machines up when all else is over.
+		_, late = c.aimFrom(j, j.submitted, j.submitted.Add(length*11/10), length)
+	}
 	return &booking{timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, j, best, late}
 }
 
