--- /dev/null
+++ b/internal/core/stats.go
@@ -0,0 +1,35 @@
+package core
+
+// Stats is what the metrics page shows of the core.
+type Stats struct {
+	Leads, Authority       bool
+	Term                   uint64
+	Jobs, Waiting, Running int     // jobs not over; their tasks
+	Machines, Reporting    int     // known; reporting
+	CPUs, CPUsUsed         float64 // of the reporting ones
+	Unaccounted            int     // machines that may hold an earlier term's tasks
+	BacklogSeconds         float64
+}
+
+// Stats returns the figures of now.
+func (c *Core) Stats() Stats {
+	s := Stats{Term: c.termMax}
+	l := c.lead
+	if l == nil {
+		return s
+	}
+	s.Leads, s.Authority = true, c.leads()
+	s.Jobs, s.Machines, s.Unaccounted, s.BacklogSeconds = len(l.jobs), len(l.fleet), len(l.owed), l.rent.backlog.Seconds()
+	for _, j := range l.jobs {
+		s.Waiting += j.waiting
+		s.Running += len(j.runs)
+	}
+	for _, m := range l.fleet {
+		if m.reported {
+			s.Reporting++
+			s.CPUs += float64(m.tl.Capacity().CPU) / 1000
+			s.CPUsUsed += float64(m.used.CPU) / 1000
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"yewpass/internal/core"
+)
+
+// gauges shows the core's figures on the metrics page.
+type gauges struct{ now atomic.Pointer[core.Stats] }
+
+func newGauges() *gauges {
+	g := &gauges{}
+	g.now.Store(&core.Stats{})
+	flag := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	for name, f := range map[string]func(s *core.Stats) float64{
+		"yewpass_leader":               func(s *core.Stats) float64 { return flag(s.Leads) },
+		"yewpass_authority":            func(s *core.Stats) float64 { return flag(s.Authority) },
+		"yewpass_term":                 func(s *core.Stats) float64 { return float64(s.Term) },
+		"yewpass_jobs":                 func(s *core.Stats) float64 { return float64(s.Jobs) },
+		"yewpass_tasks_waiting":        func(s *core.Stats) float64 { return float64(s.Waiting) },
+		"yewpass_tasks_on_machines":    func(s *core.Stats) float64 { return float64(s.Running) },
+		"yewpass_machines":             func(s *core.Stats) float64 { return float64(s.Machines) },
+		"yewpass_machines_reporting":   func(s *core.Stats) float64 { return float64(s.Reporting) },
+		"yewpass_machines_unaccounted": func(s *core.Stats) float64 { return float64(s.Unaccounted) },
+		"yewpass_cpus":                 func(s *core.Stats) float64 { return s.CPUs },
+		"yewpass_cpus_used":            func(s *core.Stats) float64 { return s.CPUsUsed },
+		"yewpass_backlog_seconds":      func(s *core.Stats) float64 { return s.BacklogSeconds },
+	} {
+		metrics.NewGauge(name, func() float64 { return f(g.now.Load()) })
+	}
+	return g
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 		waiting: map[uint64]chan<- any{},
 		refs:    map[chan<- any]uint64{},
 		ready:   &ready,
+		gauges:  newGauges(),
 	}
 	failed := make(chan error, 1)
 	go func() {
@@ -89,6 +90,8 @@
 	waiting map[uint64]chan<- any // whom to answer
 	refs    map[chan<- any]uint64
 	ready   *atomic.Bool
+	gauges  *gauges
+	shown   time.Time // when the gauges were last set
 }
 
 func (n *node) loop(inbox <-chan any, failed <-chan error) error {
@@ -115,6 +118,11 @@
 			n.do(o)
 		}
 		n.ready.Store(n.core.Ready())
+		if now.Sub(n.shown) >= time.Second {
+			n.shown = now
+			s := n.core.Stats()
+			n.gauges.now.Store(&s)
+		}
 		timer.Reset(max(time.Until(n.core.Wake()), time.Millisecond))
 	}
 }
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"yewpass/internal/config"
+	"yewpass/internal/core"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// next returns the next input that is not about the link.
+func next(t *testing.T, inbox <-chan any) core.PeerIn {
+	t.Helper()
+	for {
+		select {
+		case in := <-inbox:
+			if p, ok := in.(core.PeerIn); ok {
+				return p
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("no message")
+		}
+	}
+}
+
+// TestMesh: messages cross with what they carry, and garbage on the port ends
+// its connection and nothing else.
+func TestMesh(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	ia, ib := make(chan any, 64), make(chan any, 64)
+	a := New("a", []config.Seed{{HostName: "b", Endpoint: lb.Addr().String()}}, la, ia)
+	New("b", []config.Seed{{HostName: "a", Endpoint: la.Addr().String()}}, lb, ib)
+	for up := false; !up; {
+		select {
+		case in := <-ia:
+			l, ok := in.(core.PeerLink)
+			up = ok && l.Up && l.Name == "b"
+		case <-time.After(5 * time.Second):
+			t.Fatal("no link")
+		}
+	}
+	for _, garbage := range []string{"GET / HTTP/1.1\r\n\r\n", "{}\n", `{"from":"stranger","kind":"leader","term":99}` + "\n", "[1]\n",
+		`{"from":"a","kind":"call","spec":{"id":"","tasks":0}}` + "\n", strings.Repeat("x", maxLine+10)} {
+		conn, err := net.Dial("tcp", lb.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go io.WriteString(conn, garbage)
+		conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%.20q: the connection stays open", garbage)
+		}
+		conn.Close()
+	}
+	a.Send(core.PeerSend{To: "b", Msg: core.PeerMsg{Kind: core.PeerCall, Ref: 7, Op: core.OpSubmit, ID: "wk-1",
+		Spec: &core.JobSpec{ID: "wk-1", Tasks: 3, CPUs: 1.5, Due: time.Minute, Dated: true}}})
+	if p := next(t, ib); p.From != "a" || p.Msg.Ref != 7 || p.Msg.Spec.Tasks != 3 || p.Msg.Spec.Due != time.Minute {
+		t.Errorf("%+v", p)
+	}
+	a.Send(core.PeerSend{To: "b", Msg: core.PeerMsg{Kind: core.PeerAnswer, Ref: 8, Answer: &core.AnswerUser{Status: 503, RetryAfter: time.Second, Reason: "x"}}})
+	if p := next(t, ib); p.Msg.Answer == nil || p.Msg.Answer.Status != 503 || p.Msg.Answer.RetryAfter != time.Second {
+		t.Errorf("%+v", p)
+	}
+}
