--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -2,11 +2,7 @@
 package cloud
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -14,25 +10,18 @@
 
 	"yewpass/internal/core"
 	"yewpass/internal/timeline"
+	"yewpass/internal/wire"
 )
 
 // Client is the actor that calls the cloud; replies go to the core's inbox.
 type Client struct {
-	base  string
-	http  *http.Client
-	inbox chan<- any
+	caller *wire.Caller
+	inbox  chan<- any
 }
 
 // New returns a client of the cloud at addr that delivers to inbox.
 func New(addr string, inbox chan<- any) *Client {
-	return &Client{
-		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-			MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
-		}},
-		inbox: inbox,
-	}
+	return &Client{wire.NewCaller(addr, 2*time.Second, 4, 1<<20), inbox}
 }
 
 // Do makes the call and delivers its reply.
@@ -81,24 +70,12 @@
 const listLimit = "500"
 
 func (c *Client) call(call core.CloudCall) core.CloudReply {
-	unknown := core.CloudReply{Outcome: core.Unknown}
 	method, path, body := Request(call)
-	ctx, cancel := context.WithTimeout(context.Background(), call.Within)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return unknown
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return unknown
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
-	if err != nil {
-		return unknown
+	status, data, ok := c.caller.Call(method, path, body, call.Within)
+	if !ok {
+		return core.CloudReply{Outcome: core.Unknown}
 	}
-	return Decode(call, resp.StatusCode, data)
+	return Decode(call, status, data)
 }
 
 // Request writes a call as the cloud's protocol has it.
--- /dev/null
+++ b/internal/cloud/client_test.go
@@ -0,0 +1,37 @@
+package cloud
+
+import (
+	"testing"
+
+	"yewpass/internal/core"
+)
+
+// TestDecode: what is malformed or unexpected is an unknown outcome, never a
+// success.
+func TestDecode(t *testing.T) {
+	for _, c := range []struct {
+		op     core.CloudOp
+		status int
+		body   string
+		want   core.Outcome
+	}{
+		{core.CloudRent, 200, `{"hosts":["host-1"]}`, core.OK},
+		{core.CloudRent, 200, `{"hosts":["host-1","host-2","host-3"]}`, core.Unknown}, // more than asked for
+		{core.CloudRent, 200, `{"hosts":7}`, core.Unknown},
+		{core.CloudRent, 503, `{"error":"no capacity"}`, core.Refused},
+		{core.CloudRent, 503, `{"error":"trouble"}`, core.Unknown},
+		{core.CloudRent, 503, ``, core.Unknown},
+		{core.CloudRent, 429, ``, core.Unknown},
+		{core.CloudRent, 400, ``, core.Invalid},
+		{core.CloudRelease, 200, `{}`, core.OK},
+		{core.CloudRelease, 500, ``, core.Unknown},
+		{core.CloudCatalog, 200, `{"flavors":[{"name":"g8","vcpus":96,"gpus":8,"memGb":768}]}`, core.OK},
+		{core.CloudCatalog, 200, `{"flavors":[{"name":"","vcpus":96}]}`, core.Unknown},
+		{core.CloudCatalog, 200, `nothing`, core.Unknown},
+		{core.CloudList, 200, `{"hosts":[{"id":"host-1","ageS":"x"}]}`, core.Unknown},
+	} {
+		if got := Decode(core.CloudCall{Op: c.op, Count: 2}, c.status, []byte(c.body)); got.Outcome != c.want {
+			t.Errorf("%v %d %s: %v, want %v", c.op, c.status, c.body, got.Outcome, c.want)
+		}
+	}
+}
--- a/internal/core/bits.go
+++ b/internal/core/bits.go
@@ -27,14 +27,6 @@
 	return -1
 }
 
-func (b bitset) count() int {
-	n := 0
-	for _, x := range b {
-		n += bits.OnesCount64(x)
-	}
-	return n
-}
-
 // chunkTasks is how many tasks one progress record covers: its bitmap stays
 // far below any value limit, however scattered the finished tasks are.
 const chunkTasks = 16384
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -104,9 +104,6 @@
 	}
 }
 
-// up reports whether the machine reports at present.
-func (m *machine) up() bool { return m.reported && !m.releasing }
-
 // usable reports whether new tasks may be booked on the machine.
 func (m *machine) usable() bool {
 	return m.flavor != nil && !m.releasing && !m.draining && !m.condemned && !m.lost && m.leaving.IsZero()
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -29,9 +29,6 @@
 	refused  map[offer]time.Time // no capacity until then
 	wanted   map[string]*rental  // requests whose outcome is not known
 	count    uint64              // names never repeat: term and this
-	listing  bool
-	listAt   time.Time
-	catalog  time.Time
 	backlog  time.Duration
 	load     float64 // CPUs that arrivals keep busy, as of loadAt
 	loadAt   time.Time
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -2,12 +2,8 @@
 package state
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,28 +11,20 @@
 	"time"
 
 	"yewpass/internal/core"
+	"yewpass/internal/wire"
 )
 
 // Client is the actor that calls the state service: each call runs in its own
 // goroutine and its reply goes to the core's inbox. The core bounds how many
 // are on their way.
 type Client struct {
-	base  string
-	http  *http.Client
-	inbox chan<- any
+	caller *wire.Caller
+	inbox  chan<- any
 }
 
 // New returns a client of the service at addr that delivers to inbox.
 func New(addr string, inbox chan<- any) *Client {
-	return &Client{
-		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
-			ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, DisableCompression: true,
-		}},
-		inbox: inbox,
-	}
+	return &Client{wire.NewCaller(addr, time.Second, 8, maxAnswer), inbox}
 }
 
 // Do makes the call and delivers its reply.
@@ -92,7 +80,7 @@
 
 func (c *Client) call(call core.StoreCall) core.StoreReply {
 	method, path, body := Request(call)
-	status, data, ok := c.roundTrip(method, path, body, call.Within)
+	status, data, ok := c.caller.Call(method, path, body, call.Within)
 	if !ok {
 		return core.StoreReply{Outcome: core.Unknown}
 	}
@@ -130,25 +118,6 @@
 	return method, path, body
 }
 
-func (c *Client) roundTrip(method, path string, body []byte, within time.Duration) (int, []byte, bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, false
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return 0, nil, false
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err != nil || len(data) > maxAnswer {
-		return 0, nil, false
-	}
-	return resp.StatusCode, data, true
-}
-
 // Decode reads an answer. Whatever is not what the protocol promises is an
 // unknown outcome.
 func Decode(op core.StoreOp, status int, data []byte) core.StoreReply {
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -88,9 +88,6 @@
 // Capacity returns what the machine has.
 func (t *Timeline) Capacity() Resources { return t.capacity }
 
-// Len returns the number of bookings.
-func (t *Timeline) Len() int { return len(t.bookings) }
-
 // Add books b. The caller may change b later, followed by Touch.
 func (t *Timeline) Add(b *Booking) {
 	t.bookings = append(t.bookings, b)
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,52 @@
+// Package wire makes JSON calls to an outside service over HTTP.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Caller calls one service.
+type Caller struct {
+	base string
+	http *http.Client
+	most int64 // bytes read of an answer
+}
+
+// NewCaller returns a caller of the service at addr that keeps at most idle
+// connections and reads at most most bytes of an answer.
+func NewCaller(addr string, dial time.Duration, idle int, most int64) *Caller {
+	return &Caller{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
+			MaxIdleConnsPerHost: idle, IdleConnTimeout: time.Minute, DisableCompression: true,
+		}},
+		most: most,
+	}
+}
+
+// Call makes a request and returns the answer's status and body; false if there
+// was none that is whole.
+func (c *Caller) Call(method, path string, body []byte, within time.Duration) (int, []byte, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, false
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, c.most+1))
+	if err != nil || int64(len(data)) > c.most {
+		return 0, nil, false
+	}
+	return resp.StatusCode, data, true
+}
