A description too long for a value is malformed; one bad change holds up no others

Found by reading: such a record would have been rejected by the state service and tried again for ever, with every acceptance behind it.

--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -17,6 +17,8 @@
 	maybe  bool // an earlier try may have been applied, or may be yet
 	done   func(rev uint64)
 	failed func() // a condition of its own did not hold
+
+	rejected func() // malformed in the state service's eyes, on its own
 }
 
 // pipeline batches changes into transactions within the state service's limits.
@@ -31,6 +33,7 @@
 	pause        time.Time
 	backoff      time.Duration
 	nudged       bool
+	single       int // so many changes go one by one, to find a malformed one
 }
 
 func (p *pipeline) add(ch *change) {
@@ -55,7 +58,7 @@
 	rest := (*list)[:0:0]
 	for i, ch := range *list {
 		clash := slices.ContainsFunc(ch.writes, func(w Write) bool { return p.busy[w.Key] || keys[w.Key] })
-		full := n+len(ch.writes) > ops || conds+len(ch.when) > 4*ops || size+ch.size > txnBytes
+		full := p.single > 0 || n+len(ch.writes) > ops || conds+len(ch.when) > 4*ops || size+ch.size > txnBytes
 		if full && len(batch) > 0 {
 			rest = append(rest, (*list)[i:]...)
 			break
@@ -71,6 +74,7 @@
 		n, conds, size = n+len(ch.writes), conds+len(ch.when), size+ch.size
 	}
 	*list = rest
+	p.single = max(0, p.single-len(batch))
 	return batch
 }
 
@@ -175,7 +179,13 @@
 		// Ours to get right: log it loudly, and try the changes one by one so
 		// that a single bad one does not block the rest for ever.
 		c.note(slog.LevelError, "transaction rejected as malformed", "changes", len(batch), "key", batch[0].writes[0].Key)
+		if len(batch) == 1 && batch[0].rejected != nil {
+			batch[0].rejected()
+			return
+		}
+		p.single = max(p.single, len(batch))
 		p.pause = c.now.Add(c.jitter(time.Second))
+		c.whenLeading(time.Second, func() {})
 		again(batch)
 	default:
 		if r.Outcome == Unknown {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -250,6 +250,11 @@
 		return
 	}
 	s := call.Spec
+	if float64(recordSize(s)) > c.cfg.Settings.State.ValueKB*1024 {
+		// Its record would not fit into a value, now or on any retry.
+		c.answer(call, AnswerUser{Status: 400, Field: "flavors", Reason: "flavors: the description is too long"})
+		return
+	}
 	// A refusal must never meet a job that was accepted once, so the records
 	// have the last word before it.
 	if reason := c.neverRuns(s); reason != "" {
@@ -279,6 +284,10 @@
 			a.answerAll(c, AnswerUser{Status: 201, View: j.view()})
 		},
 		failed: func() { c.acceptConflict(a) },
+		rejected: func() {
+			delete(l.accept, s.ID)
+			a.answerAll(c, unavailable("the state service rejects the record"))
+		},
 	})
 }
 
