Dead state out; one exchange for both outside services in the scenarios

Removed: a mark on changes and a flag on machines that nothing read, a bound that was always one, a field used once.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,7 +60,7 @@
 	reads   *rate.Limiter
 	stateUp bool
 
-	report, lease, cancelWithin, hold time.Duration
+	report, lease, hold time.Duration
 }
 
 type alarm struct {
@@ -75,16 +75,15 @@
 		cfg: cfg, pol: pol, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){},
 		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, stateUp: true,
-		reads:        rate.NewLimiter(rate.Limit(cfg.Settings.State.RPS/2), max(1, int(cfg.Settings.State.RPS/2))),
-		report:       cfg.Settings.Workers.Report.Duration(),
-		lease:        cfg.Settings.Workers.Lease.Duration(),
-		cancelWithin: cfg.Settings.Workers.Cancel.Duration(),
+		reads:  rate.NewLimiter(rate.Limit(cfg.Settings.State.RPS/2), max(1, int(cfg.Settings.State.RPS/2))),
+		report: cfg.Settings.Workers.Report.Duration(),
+		lease:  cfg.Settings.Workers.Lease.Duration(),
 	}
 	// A leader without authority goes on answering reports for this long, so
 	// that tasks outlive an outage. It must end early enough that a task whose
 	// job was cancelled under a successor is gone in time: the successor's
 	// grant, then the hold, then the worker's lease.
-	c.hold = max(0, c.cancelWithin-withDrift(c.lease)-grantTTL-1500*time.Millisecond)
+	c.hold = max(0, cfg.Settings.Workers.Cancel.Duration()-withDrift(c.lease)-grantTTL-1500*time.Millisecond)
 	return c
 }
 
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -95,7 +95,6 @@
 		if b.r.job.spec.SnapshotEvery > 0 {
 			b.r.drain = b.r.job.spec.Snapshot + time.Second
 		}
-		b.r.m.dirty = true
 		stopped++
 	}
 	if stopped > 0 {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -312,9 +312,6 @@
 		done: func(uint64) {
 			j.cancelling, j.cancelled, j.rec = false, true, &rec
 			c.unbook(j)
-			for _, r := range j.runs {
-				r.m.dirty = true
-			}
 			c.note(slog.LevelDebug, "job cancelled", "job", j.spec.ID)
 			j.answerCancels(c, AnswerUser{Status: 200, View: j.view()})
 			c.closeIfOver(j)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -57,7 +57,6 @@
 	rentedAt        time.Time
 	readyAt         time.Time // expected, while it boots
 	held            *heldReport
-	dirty           bool // has orders waiting
 
 	tl     *timeline.Timeline
 	runs   []*run
@@ -429,7 +428,6 @@
 			os = append(os, Order{Verb: Stop, Task: r.id, Try: r.try, Drain: drain})
 		}
 	}
-	m.dirty = false
 	return os
 }
 
@@ -459,7 +457,7 @@
 	hold := c.lead.holdIdle
 	if len(m.runs) > 0 && (m.warm == 0 || m.room().CPU < m.warm/2) {
 		hold = c.lead.holdBusy
-		if !m.usable() || m.room().CPU < l.rent.leastCPU {
+		if !m.usable() || m.room().CPU <= 0 {
 			hold = 0
 		}
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -24,7 +24,6 @@
 // renting is what the leader knows of the cloud.
 type renting struct {
 	flavors  []Flavor
-	leastCPU int64 // the smallest amount that a task could use; below it a machine is full
 	limit    *rate.Limiter
 	refused  map[offer]time.Time // no capacity until then
 	wanted   map[string]*rental  // requests whose outcome is not known
@@ -50,7 +49,7 @@
 	rps := cfg.Settings.Cloud.RPS
 	return renting{
 		limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps))), refused: map[offer]time.Time{},
-		wanted: map[string]*rental{}, patience: map[string]float64{}, leastCPU: 1,
+		wanted: map[string]*rental{}, patience: map[string]float64{},
 	}
 }
 
@@ -362,7 +361,6 @@
 		if s := r.job.spec.Snapshot; r.job.spec.SnapshotEvery > 0 && (m.leaving.IsZero() || left > s) {
 			r.drain = s + time.Second
 		}
-		m.dirty = true
 		c.lead.dirty = true
 	}
 }
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -14,7 +14,6 @@
 	writes []Write
 	size   int // estimated bytes
 	bulk   bool
-	maybe  bool // an earlier try may have been applied, or may be yet
 	done   func(rev uint64)
 	failed func() // a condition of its own did not hold
 
@@ -188,11 +187,9 @@
 		c.whenLeading(time.Second, func() {})
 		again(batch)
 	default:
-		if r.Outcome == Unknown {
-			for _, ch := range batch {
-				ch.maybe = true
-			}
-		}
+		// Known not to have been executed, or not known: both are sent again.
+		// Should the first try be applied as well, the second meets a condition
+		// of its own, which is read back.
 		p.backoff = min(max(2*p.backoff, 100*time.Millisecond), 2*time.Second)
 		d := c.jitter(p.backoff)
 		p.pause = c.now.Add(d)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -257,6 +257,24 @@
 	}
 }
 
+// exchange has an outside service serve a request and gives the core its reply,
+// or that of status 0 when none has come within the time given.
+func (n *node) exchange(host string, within time.Duration, serve func(answer func(int, []byte)), reply func(status int, data []byte) any) {
+	over := false
+	deliver := func(status int, data []byte) func() {
+		return n.here(func() {
+			if !over {
+				over = true
+				n.input(reply(status, data))
+			}
+		})
+	}
+	n.net.send(n.name, host, func() {
+		serve(func(status int, data []byte) { n.net.send(host, n.name, deliver(status, data)) })
+	})
+	n.after(within, deliver(0, nil))
+}
+
 func (n *node) do(o any) {
 	switch o := o.(type) {
 	case core.AnswerUser:
@@ -265,37 +283,29 @@
 		o.Orders = slices.Clone(o.Orders)
 		n.answer(o.Ref, o)
 	case core.StoreCall:
-		over := false
-		deliver := func(r core.StoreReply) {
-			if !over {
-				over = true
-				r.Ref = o.Ref
-				n.input(r)
-			}
-		}
 		method, path, body := state.Request(o)
-		n.net.send(n.name, "state", func() {
-			n.store.serve(n.name, method, path, body, func(status int, data []byte) {
-				n.net.send("state", n.name, n.here(func() { deliver(state.Decode(o.Op, status, data)) }))
-			})
+		n.exchange("state", o.Within, func(answer func(int, []byte)) {
+			n.store.serve(n.name, method, path, body, answer)
+		}, func(status int, data []byte) any {
+			r := core.StoreReply{Outcome: core.Unknown}
+			if status != 0 {
+				r = state.Decode(o.Op, status, data)
+			}
+			r.Ref = o.Ref
+			return r
 		})
-		n.after(o.Within, n.here(func() { deliver(core.StoreReply{Outcome: core.Unknown}) }))
 	case core.CloudCall:
-		over := false
-		deliver := func(r core.CloudReply) {
-			if !over {
-				over = true
-				r.Ref = o.Ref
-				n.input(r)
-			}
-		}
 		method, path, body := cloud.Request(o)
-		n.net.send(n.name, "cloud", func() {
-			n.cloud.serve(method, path, body, func(status int, data []byte) {
-				n.net.send("cloud", n.name, n.here(func() { deliver(cloud.Decode(o, status, data)) }))
-			})
+		n.exchange("cloud", o.Within, func(answer func(int, []byte)) {
+			n.cloud.serve(method, path, body, answer)
+		}, func(status int, data []byte) any {
+			r := core.CloudReply{Outcome: core.Unknown}
+			if status != 0 {
+				r = cloud.Decode(o, status, data)
+			}
+			r.Ref = o.Ref
+			return r
 		})
-		n.after(o.Within, n.here(func() { deliver(core.CloudReply{Outcome: core.Unknown}) }))
 	case core.PeerSend:
 		for _, p := range n.nodes {
 			if p.name == o.To && n.links[p.name].up {
