--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -247,27 +247,19 @@
 	}
 }
 
-// here runs f in this life of the node only.
-func (n *node) here(f func()) func() {
-	life := n.life
-	return func() {
-		if n.alive && n.life == life {
-			f()
-		}
-	}
-}
-
 // exchange has an outside service serve a request and gives the core its reply,
 // or that of status 0 when none has come within the time given.
 func (n *node) exchange(host string, within time.Duration, serve func(answer func(int, []byte)), reply func(status int, data []byte) any) {
-	over := false
+	// A reply to an earlier life of the node reaches nobody: its numbers would
+	// mean other calls to the next one.
+	over, life := false, n.life
 	deliver := func(status int, data []byte) func() {
-		return n.here(func() {
-			if !over {
+		return func() {
+			if n.alive && n.life == life && !over {
 				over = true
 				n.input(reply(status, data))
 			}
-		})
+		}
 	}
 	n.net.send(n.name, host, func() {
 		serve(func(status int, data []byte) { n.net.send(host, n.name, deliver(status, data)) })
