Work per event no longer grows with machines times queue; machines share records

Cause: on 1,125 machines the leader fell behind. Every input that might let a task start looked at every held reply, each of which went over every booking; each booking of an array asked the whole fleet again; the end of a job or the write of its progress went over every task on every machine; timers were a list. The record of each machine was a write of its own.

Change: the queue is of jobs, each at the turn of its first booking, which is the same order; a job asks the fleet once and afterwards only the machine that it has just booked; held replies are looked at when there is work that may start, every 40 ms at most, and at once for orders; timers are a heap; progress is filled in when it goes, one change a chunk; machines are recorded together. Records of the first form are still read.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"container/heap"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -51,7 +52,8 @@
 	stores  map[uint64]func(StoreReply)
 	clouds  map[uint64]func(CloudReply)
 	calls   map[uint64]*forwarded // users' requests at the leader's
-	wake    []alarm
+	wake    alarms
+	alarmed uint64
 	lead    *leadership
 	hint    string // who leads, as far as we know
 	termMax uint64 // the highest term seen anywhere
@@ -64,8 +66,29 @@
 }
 
 type alarm struct {
-	at time.Time
-	do func()
+	at  time.Time
+	seq uint64 // alarms of one moment ring in the order they were set
+	do  func()
+}
+
+// alarms is a heap: a large fleet has one for nearly every machine.
+type alarms []alarm
+
+func (a alarms) Len() int      { return len(a) }
+func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a alarms) Less(i, j int) bool {
+	if x := a[i].at.Compare(a[j].at); x != 0 {
+		return x < 0
+	}
+	return a[i].seq < a[j].seq
+}
+func (a *alarms) Push(x any) { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	old[len(old)-1] = alarm{}
+	*a = old[:len(old)-1]
+	return x
 }
 
 // New returns a controller that has not begun; give it a Tick to begin.
@@ -130,30 +153,21 @@
 // Wake returns when the core next wants a Tick.
 func (c *Core) Wake() time.Time {
 	at := c.now.Add(time.Second)
-	for _, a := range c.wake {
-		if a.at.Before(at) {
-			at = a.at
-		}
+	if len(c.wake) > 0 && c.wake[0].at.Before(at) {
+		at = c.wake[0].at
 	}
 	return at
 }
 
 // after has f called once d has passed.
 func (c *Core) after(d time.Duration, f func()) {
-	c.wake = append(c.wake, alarm{c.now.Add(d), f})
+	c.alarmed++
+	heap.Push(&c.wake, alarm{c.now.Add(d), c.alarmed, f})
 }
 
 func (c *Core) alarms() {
-	for again := true; again; {
-		again = false
-		for i, a := range c.wake {
-			if !a.at.After(c.now) {
-				c.wake = append(c.wake[:i], c.wake[i+1:]...)
-				a.do()
-				again = true
-				break
-			}
-		}
+	for len(c.wake) > 0 && !c.wake[0].at.After(c.now) {
+		heap.Pop(&c.wake).(alarm).do()
 	}
 }
 
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -35,8 +35,7 @@
 	}
 	short := int64(0)
 	seen := map[*team]int64{}
-	for _, b := range l.queue {
-		j := b.job
+	for _, j := range l.queue {
 		t := j.team
 		if t.guarantee.CPU == 0 || !c.mayStart(j) || c.now.Sub(j.submitted) < owesAfter || t.used.CPU+j.need.CPU > t.guarantee.CPU {
 			continue
@@ -45,7 +44,7 @@
 		if !ok {
 			left = t.guarantee.CPU - t.used.CPU
 		}
-		n := min(left, int64(b.Count)*j.need.CPU)
+		n := min(left, int64(j.booked)*j.need.CPU)
 		seen[t] = left - n
 		short += n
 	}
@@ -92,13 +91,13 @@
 		over[t] -= b.r.need.CPU
 		short -= b.r.need.CPU
 		b.r.stop = true
+		c.poke(b.r.m)
 		if b.r.job.spec.SnapshotEvery > 0 {
 			b.r.drain = b.r.job.spec.Snapshot + time.Second
 		}
 		stopped++
 	}
 	if stopped > 0 {
-		l.dirty = true
 		c.note(slog.LevelInfo, "borrowers give back", "tasks", stopped)
 	}
 }
--- /dev/null
+++ b/internal/core/groups.go
@@ -0,0 +1,118 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+)
+
+// group is a record that names machines which may hold tasks. Only once it is
+// committed do tasks start on a machine, so a successor that reads the records
+// knows where to look. Machines come up by the dozen on a large fleet and leave
+// the same way; together they cost a write or two.
+type group struct {
+	key      string
+	machines []*machine
+	size     int  // bytes, estimated
+	queued   bool // a change of it waits
+	bulk     bool // and is not urgent
+	flushed  time.Time
+}
+
+// groupEvery is how often a record of machines is written at the most.
+const groupEvery = 250 * time.Millisecond
+
+func recordedSize(m *machine) int { return 70 + len(m.host) + len(m.flavorName) + len(m.zone) }
+
+// recordMachine has it written that the machine may hold tasks.
+func (c *Core) recordMachine(m *machine) {
+	l := c.lead
+	limit := int(c.cfg.Settings.State.ValueKB * 1024 * 3 / 4)
+	i := slices.IndexFunc(l.groups, func(g *group) bool { return g.size+recordedSize(m) <= limit })
+	if i < 0 {
+		l.grouped++
+		l.groups = append(l.groups, &group{key: fmt.Sprintf("%s%d-%d", machineKeys, l.term, l.grouped)})
+		i = len(l.groups) - 1
+	}
+	g := l.groups[i]
+	m.record, m.group = recording, g
+	g.machines = append(g.machines, m)
+	g.size += recordedSize(m)
+	c.writeGroup(g, false)
+}
+
+// unrecord takes a machine that is gone out of its record.
+func (c *Core) unrecord(m *machine) {
+	g := m.group
+	if g == nil {
+		return
+	}
+	m.record, m.group = unrecorded, nil
+	g.machines = slices.DeleteFunc(g.machines, func(x *machine) bool { return x == m })
+	g.size -= recordedSize(m)
+	c.writeGroup(g, true)
+}
+
+// writeGroup writes a record of machines. What changes until then goes along.
+func (c *Core) writeGroup(g *group, bulk bool) {
+	if g.queued && (bulk || !g.bulk) {
+		return
+	}
+	g.queued, g.bulk = true, bulk
+	c.whenLeading(max(0, g.flushed.Add(groupEvery).Sub(c.now)), func() {
+		var news []*machine
+		ch := &change{bulk: bulk, writes: []Write{{Key: g.key}}, size: int(c.cfg.Settings.State.ValueKB * 1024)}
+		ch.fill = func() bool {
+			if !g.queued {
+				return false // went along with a more pressing one
+			}
+			g.queued, g.flushed = false, c.now
+			news = nil
+			ch.size = g.size
+			rec := &MachineRecord{}
+			for _, m := range g.machines {
+				rec.Machines = append(rec.Machines, RecordedMachine{m.host, m.flavorName, m.zone, m.reclaimable})
+				if m.record == recording {
+					news = append(news, m)
+				}
+			}
+			ch.writes[0].Value = nil
+			if len(rec.Machines) > 0 {
+				ch.writes[0].Value = rec
+			}
+			return true
+		}
+		ch.done = func(uint64) {
+			for _, m := range news {
+				if m.record == recording && m.group == g {
+					m.record = recorded
+					c.poke(m)
+				}
+			}
+		}
+		c.lead.pipe.add(ch)
+	})
+}
+
+// loadGroup takes in a record of an earlier term.
+func (c *Core) loadGroup(key string, rec *MachineRecord) {
+	l := c.lead
+	g := &group{key: key}
+	for _, r := range rec.Machines {
+		m := c.machine(r.Host, r.Flavor, r.Zone, r.Reclaimable)
+		if m.group != nil {
+			continue
+		}
+		l.owed[r.Host] = true
+		m.record, m.group = recorded, g
+		g.machines = append(g.machines, m)
+		g.size += recordedSize(m)
+	}
+	l.groups = append(l.groups, g)
+}
+
+// place returns where the machine named host is in the fleet, or would be.
+func (l *leadership) place(host string) int {
+	return sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].host >= host })
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -30,7 +30,6 @@
 	booked   int // members of pending that have a place in the queue
 	chunkRev map[int]uint64
 	dirty    map[int]bool // chunks with news not yet on their way
-	flushing bool
 
 	cancelling bool // a cancellation is on its way to the state service
 	cancelled  bool // and has been committed
@@ -43,7 +42,12 @@
 	any      bool            // a task has completed
 	missed   time.Time       // aims up to this are out of reach
 	took     observed        // seconds that its tasks took
-	books    []*booking      // places in the queue
+	books    []*booking      // places in the queue, in order
+	turn     time.Time       // of the first, while queued
+	queued   bool
+	unplaced bool   // to be booked soon
+	running  int    // tasks that workers report as running or saving
+	ended    []*run // completed, and not known to be on record
 }
 
 // addJob takes a job into memory.
@@ -83,20 +87,14 @@
 		c.closeIfOver(j)
 		return
 	}
-	c.book(j)
-	c.lead.dirty = true
+	c.bookSoon(j)
 }
 
 // halted reports whether no task of the job may start any more.
 func (j *job) halted() bool { return j.cancelled || j.cancelling || j.closing }
 
 func (j *job) view() JobView {
-	v := JobView{ID: j.spec.ID, State: Queued, Done: j.spec.Tasks - j.left}
-	for _, r := range j.runs {
-		if r.phase == TaskRuns || r.phase == Saving {
-			v.Running++
-		}
-	}
+	v := JobView{ID: j.spec.ID, State: Queued, Done: j.spec.Tasks - j.left, Running: j.running}
 	switch {
 	case j.cancelled:
 		v.State = Cancelled
@@ -132,14 +130,16 @@
 	c.flushSoon(j, i)
 }
 
-// flushSoon has the progress around task i written. Progress of a second goes
-// in one write; the final record makes most of it needless.
+// flushSoon has the progress around task i written. One change a chunk waits at
+// a time and is filled in when it goes: however slow the writes, the news of
+// many seconds go in one. The final record makes most of them needless.
 func (c *Core) flushSoon(j *job, i int) {
-	j.dirty[i/chunkTasks] = true
-	if !j.flushing {
-		j.flushing = true
-		c.whenLeading(time.Second, func() { c.flush(j) })
+	chunk := i / chunkTasks
+	if j.dirty[chunk] {
+		return
 	}
+	j.dirty[chunk] = true
+	c.whenLeading(time.Second, func() { c.flushChunk(j, chunk) })
 }
 
 // requeue makes a task wait again.
@@ -149,8 +149,7 @@
 	}
 	j.pending.set(i)
 	j.waiting++
-	c.book(j)
-	c.lead.dirty = true
+	c.bookSoon(j)
 }
 
 func chunkKey(id string, chunk int) string { return doneKeys + id + "/" + strconv.Itoa(chunk) }
@@ -164,26 +163,13 @@
 	return id, n
 }
 
-// flush writes the job's progress.
-func (c *Core) flush(j *job) {
-	j.flushing = false
-	if j.halted() || j.left == 0 {
-		return
-	}
-	for _, chunk := range slices.Sorted(maps.Keys(j.dirty)) {
-		c.flushChunk(j, chunk)
-	}
-	clear(j.dirty)
-}
-
+// flushChunk writes the progress of one chunk of a job.
 func (c *Core) flushChunk(j *job, chunk int) {
 	key := chunkKey(j.spec.ID, chunk)
-	text := j.done.encodeChunk(chunk * chunkTasks)
-	had := j.done.clone(chunk)
-	c.lead.pipe.add(&change{
-		bulk: true, size: 200 + len(text),
-		when:   []Cond{{key, j.chunkRev[chunk]}},
-		writes: []Write{{Key: key, Value: &ProgressRecord{text}}},
+	var had bitset
+	ch := &change{
+		bulk: true, size: 300 + 4*min(j.spec.Tasks, chunkTasks)/3/8,
+		writes: []Write{{Key: key}},
 		done: func(rev uint64) {
 			j.chunkRev[chunk] = rev
 			c.progressSaved(j, chunk, had)
@@ -202,7 +188,18 @@
 				}
 			})
 		},
-	})
+	}
+	ch.fill = func() bool {
+		if j.halted() || j.left == 0 {
+			return false
+		}
+		delete(j.dirty, chunk)
+		had = j.done.clone(chunk)
+		ch.when = []Cond{{key, j.chunkRev[chunk]}}
+		ch.writes[0].Value = &ProgressRecord{j.done.encodeChunk(chunk * chunkTasks)}
+		return true
+	}
+	c.lead.pipe.add(ch)
 }
 
 // clone copies one chunk's members.
@@ -214,14 +211,12 @@
 // progressSaved lets workers forget the tasks that the state service now knows
 // to be done. Until then their reports repeat it to any successor.
 func (c *Core) progressSaved(j *job, chunk int, saved bitset) {
-	for _, m := range c.lead.machines {
-		for _, r := range m.runs {
-			if r.job == j && r.phase == Exited && !r.saved && r.id.Index/chunkTasks == chunk && saved.has(r.id.Index%chunkTasks) {
-				r.saved = true
-				c.lead.dirty = true
-			}
+	j.ended = slices.DeleteFunc(j.ended, func(r *run) bool {
+		if r.id.Index/chunkTasks == chunk && saved.has(r.id.Index%chunkTasks) {
+			r.saved = true
 		}
-	}
+		return r.saved
+	})
 }
 
 // closeIfOver writes the final record of a job that is over. A cancelled job
@@ -272,15 +267,11 @@
 	delete(l.jobs, j.spec.ID)
 	j.team.jobs--
 	c.unbook(j)
-	for _, m := range l.machines {
-		for _, r := range m.runs {
-			if r.job == j {
-				r.saved = true
-			}
-		}
+	for _, r := range j.ended {
+		r.saved = true
 	}
+	j.ended = nil
 	j.answerCancels(c, AnswerUser{Status: 200, View: f.view(j.spec.ID)})
-	l.dirty = true
 	c.note(slog.LevelDebug, "job over", "job", j.spec.ID, "state", f.State)
 }
 
@@ -314,8 +305,10 @@
 			c.unbook(j)
 			c.note(slog.LevelDebug, "job cancelled", "job", j.spec.ID)
 			j.answerCancels(c, AnswerUser{Status: 200, View: j.view()})
+			for _, r := range j.runs {
+				c.poke(r.m)
+			}
 			c.closeIfOver(j)
-			c.lead.dirty = true
 		},
 	})
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -31,13 +31,22 @@
 	queue      waitQueue
 	est        estimates
 
-	machines map[string]*machine
-	fleet    []*machine      // the same, by name
-	gone     map[string]bool // released, proven gone: their late reports count for nothing
-	owed     map[string]bool // recorded machines that may hold an earlier term's tasks
-	rent     renting
-	dirty    bool // something may be startable
-	tries    uint64
+	machines    map[string]*machine
+	fleet       []*machine      // the same, by name
+	gone        map[string]bool // released, proven gone: their late reports count for nothing
+	owed        map[string]bool // recorded machines that may hold an earlier term's tasks
+	rent        renting
+	grouped     uint64              // records of machines begun in this term
+	groups      []*group            // the records of the machines
+	holding     map[uint64]*machine // by the number of the held report
+	poked       []*machine          // see poke
+	unplaced    []*job              // see bookSoon
+	offers      []slotOffer         // scratch space
+	learned     uint64              // reports taken in
+	dirty       bool                // machines whose replies are held may have something to start
+	dispatchAt  time.Time           // not before this again
+	dispatching bool                // and then it is seen to
+	tries       uint64
 
 	holdIdle, holdBusy time.Duration
 	margin             float64
@@ -157,7 +166,7 @@
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
 		teams: map[string]*team{}, est: estimates{}, machines: map[string]*machine{},
-		gone: map[string]bool{}, owed: map[string]bool{},
+		gone: map[string]bool{}, owed: map[string]bool{}, holding: map[uint64]*machine{},
 		pipe: pipeline{
 			writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.9), max(st.TxnOps, int(st.WriteRPS*0.8))),
 			reqs:   rate.NewLimiter(rate.Limit(st.RPS*0.6), max(1, int(st.RPS*0.5))),
@@ -289,10 +298,7 @@
 			c.addJob(v, true)
 		}
 	case *MachineRecord:
-		host := e.Key[len(machineKeys):]
-		l.owed[host] = true
-		m := c.machine(host, v.Flavor, v.Zone, v.Reclaimable)
-		m.record = recorded
+		c.loadGroup(e.Key, v)
 	case *ProgressRecord:
 		// Progress comes after jobs in key order, so the job is known by now.
 		id, chunk := splitChunkKey(e.Key[len(doneKeys):])
@@ -351,9 +357,10 @@
 		return
 	}
 	c.pumpStore()
-	if l.dirty {
-		l.dirty = false
-		c.dispatchHeld()
+	c.bookUnplaced()
+	if l.dirty || len(l.poked) > 0 {
+		c.dispatch()
+		c.bookUnplaced()
 		c.pumpStore()
 	}
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"slices"
-	"sort"
 	"time"
 
 	"yewpass/internal/timeline"
@@ -23,8 +22,10 @@
 	ordered time.Time
 	began   time.Time // first reported as running
 	slot    *timeline.Booking
-	saved   bool // exited, and the worker may forget it
-	stop    bool // to be stopped
+	saved   bool   // exited, and the worker may forget it
+	counted bool   // among its job's running tasks
+	listed  uint64 // number of the last report that listed it
+	stop    bool   // to be stopped
 	drain   time.Duration
 	stopped time.Time // when the stop first went out
 }
@@ -46,6 +47,7 @@
 	flavor                 *Flavor // nil while the catalog is unknown
 	reclaimable            bool
 	record                 recordState // a successor must know of it before it may hold tasks
+	group                  *group      // the record that names it
 
 	reported        bool // in this term
 	tenure, counter uint64
@@ -57,9 +59,11 @@
 	rentedAt        time.Time
 	readyAt         time.Time // expected, while it boots
 	held            *heldReport
+	poked           bool // has orders that need not wait for its next report
 
 	tl     *timeline.Timeline
 	runs   []*run
+	books  []*booking // of tasks that wait
 	used   timeline.Resources
 	warm   int64 // CPUs, in thousandths, kept free for work that must start at once
 	images map[string]bool
@@ -83,8 +87,7 @@
 		m = &machine{host: host, flavorName: flavor, zone: zone, reclaimable: reclaimable,
 			since: c.now, rentedAt: c.now, idle: c.now, images: map[string]bool{}, tl: timeline.New(timeline.Resources{})}
 		l.machines[host] = m
-		i := sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].host >= host })
-		l.fleet = slices.Insert(l.fleet, i, m)
+		l.fleet = slices.Insert(l.fleet, l.place(host), m)
 		c.setFlavor(m)
 	}
 	return m
@@ -112,9 +115,12 @@
 	return m.tl.Capacity().Add(m.used, -1)
 }
 
-func (m *machine) find(id TaskID, try uint64) *run {
-	for _, r := range m.runs {
-		if r.try == try && r.id == id {
+// find returns the run of an attempt. Workers list tasks in the order of their
+// starts, as we do: the search begins where that has it.
+func (m *machine) find(id TaskID, try uint64, from int) *run {
+	n := len(m.runs)
+	for i := range n {
+		if r := m.runs[(from+i)%n]; r.try == try && r.id == id {
 			return r
 		}
 	}
@@ -151,24 +157,39 @@
 	}
 	if m.held != nil {
 		// The worker has given up on it; this is its next report.
-		c.emit(AnswerReport{Ref: m.held.ref, Status: 503})
-		m.held = nil
+		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
 	}
 	c.learn(m, rep)
 	if m.record == unrecorded && c.leads() && !m.releasing {
 		c.recordMachine(m)
 	}
 	m.held = &heldReport{in.Ref}
+	l.holding[in.Ref] = m
 	c.reply(m, false)
 }
 
+// unhold takes away the report that a machine waits on and returns its number.
+func (c *Core) unhold(m *machine) uint64 {
+	ref := m.held.ref
+	delete(c.lead.holding, ref)
+	m.held = nil
+	return ref
+}
+
+// poke has a held reply to the machine go out soon if there are orders for it.
+func (c *Core) poke(m *machine) {
+	if !m.poked {
+		m.poked = true
+		c.lead.poked = append(c.lead.poked, m)
+	}
+}
+
 // learn takes in what a report says.
 func (c *Core) learn(m *machine, rep *Report) {
 	l := c.lead
 	if !m.reported {
 		c.note(slog.LevelDebug, "machine reports", "machine", m.host, "type", rep.Flavor, "zone", rep.Zone, "tasks", len(rep.Tasks))
 		m.idle = c.now
-		l.dirty = true
 		delete(l.rent.patience, m.flavorName)
 	}
 	if m.reported && rep.Tenure > m.tenure {
@@ -185,24 +206,26 @@
 		}
 		m.leaving = c.now.Add(rep.Notice)
 	}
-	listed := make(map[*run]bool, len(rep.Tasks))
+	l.learned++
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
-		r := m.find(t.Task, t.Try)
+		r := m.find(t.Task, t.Try, i)
 		if r == nil {
 			r = c.foundRun(m, t)
 		}
-		listed[r] = true
+		r.listed = l.learned
 		c.update(r, t)
 	}
-	for _, r := range slices.Clone(m.runs) {
-		// A start that went out with the reply to an earlier report and is not
-		// listed now was never executed, and never will be: the worker takes
-		// replies in turn and drops late ones.
-		if !listed[r] && rep.Counter > r.order {
-			c.dropRun(r)
+	// A start that went out with the reply to an earlier report and is not
+	// listed now was never executed, and never will be: the worker takes
+	// replies in turn and drops late ones.
+	m.runs = slices.DeleteFunc(m.runs, func(r *run) bool {
+		if r.listed == l.learned || rep.Counter <= r.order {
+			return false
 		}
-	}
+		c.forget(r)
+		return true
+	})
 	if rep.Epoch == l.term && l.owed[m.host] {
 		c.accounted(m.host)
 	}
@@ -223,8 +246,8 @@
 				c.closeIfOver(j)
 			}
 		}
+		l.dirty = true
 	}
-	l.dirty = true
 }
 
 func (l *leadership) sortedJobs() []*job {
@@ -285,7 +308,7 @@
 	r.m.tl.Add(r.slot)
 }
 
-// vacate is the reverse of hold_: the task is surely not on the machine.
+// vacate is the reverse of occupy: the task is surely not on the machine.
 func (c *Core) vacate(r *run) {
 	if r.slot != nil {
 		r.m.tl.Remove(r.slot)
@@ -296,6 +319,7 @@
 	}
 	r.holds = false
 	j := r.job
+	c.count(r, false)
 	r.m.used = r.m.used.Add(r.need, -1)
 	j.team.used = j.team.used.Add(r.need, -1)
 	if j.runs[r.id.Index] == r {
@@ -304,7 +328,25 @@
 	if r.m.used == (timeline.Resources{}) {
 		r.m.idle = c.now
 	}
-	c.lead.dirty = true
+	// The machine's own reply looks for work for the room. Others can make use
+	// of what the team or the job has got back.
+	if j.team.short || j.spec.SamePlace || j.spec.Apart || j.failures > 0 {
+		j.team.short = false
+		c.lead.dirty = true
+	}
+}
+
+// count keeps the number of a job's tasks that workers report as running.
+func (c *Core) count(r *run, runs bool) {
+	if r.counted == runs || r.job == nil {
+		return
+	}
+	r.counted = runs
+	if runs {
+		r.job.running++
+	} else {
+		r.job.running--
+	}
 }
 
 // dropRun forgets a run that is surely gone and makes its task wait again.
@@ -313,6 +355,11 @@
 	if i := slices.Index(m.runs, r); i >= 0 {
 		m.runs = slices.Delete(m.runs, i, i+1)
 	}
+	c.forget(r)
+}
+
+// forget is dropRun without the machine's list of runs.
+func (c *Core) forget(r *run) {
 	held := r.holds
 	c.vacate(r)
 	if held {
@@ -341,6 +388,9 @@
 			}
 		}
 		r.phase = t.Phase
+		if r.holds {
+			c.count(r, t.Phase == TaskRuns || t.Phase == Saving)
+		}
 		return
 	}
 	was := r.phase
@@ -355,6 +405,7 @@
 			if was == TaskRuns && !r.began.IsZero() {
 				c.observe(j, m, c.now.Sub(r.began))
 			}
+			j.ended = append(j.ended, r)
 			c.taskDone(j, i)
 			return
 		}
@@ -394,19 +445,6 @@
 	}
 }
 
-// recordMachine writes that the machine may hold tasks. Only then do tasks
-// start on it, so a successor that reads the records knows where to look.
-func (c *Core) recordMachine(m *machine) {
-	m.record = recording
-	c.lead.pipe.add(&change{
-		writes: []Write{{Key: machineKeys + m.host, Value: &MachineRecord{m.flavorName, m.zone, m.reclaimable}}},
-		done: func(uint64) {
-			m.record = recorded
-			c.lead.dirty = true
-		},
-	})
-}
-
 // orders collects what the machine has to do, other than to start tasks.
 func (c *Core) orders(m *machine) []Order {
 	var os []Order
@@ -473,24 +511,56 @@
 }
 
 func (c *Core) sendReply(m *machine, os []Order) {
-	c.emit(AnswerReport{Ref: m.held.ref, Status: 200, Epoch: c.lead.term, Orders: os})
-	m.held = nil
+	c.emit(AnswerReport{Ref: c.unhold(m), Status: 200, Epoch: c.lead.term, Orders: os})
 	m.answered = c.now
 }
 
-// dispatchHeld looks again at the machines whose replies are held.
-func (c *Core) dispatchHeld() {
-	for _, m := range c.lead.fleet {
-		if m.held == nil || m.epoch != c.lead.term {
-			continue
+// dispatchEvery bounds how often all held replies are looked at: news come
+// many times as often on a large fleet, and each look goes over all of it.
+const dispatchEvery = 40 * time.Millisecond
+
+// dispatch looks again at machines whose replies are held: at those that have
+// got orders, and at all when there is work that any of them may take.
+func (c *Core) dispatch() {
+	l := c.lead
+	for i := 0; i < len(l.poked); i++ {
+		m := l.poked[i]
+		m.poked = false
+		c.replyIfAny(m)
+	}
+	l.poked = l.poked[:0]
+	if !l.dirty {
+		return
+	}
+	if c.now.Before(l.dispatchAt) {
+		if !l.dispatching {
+			l.dispatching = true
+			c.whenLeading(l.dispatchAt.Sub(c.now), func() { l.dispatching = false })
 		}
-		os := append(c.orders(m), c.startOn(m)...)
-		if len(os) > 0 {
-			c.sendReply(m, os)
+		return
+	}
+	l.dirty = false
+	l.dispatchAt = c.now.Add(dispatchEvery)
+	for _, m := range l.fleet {
+		if !slices.ContainsFunc(l.queue, func(j *job) bool { return c.mayStart(j) && j.team.room(j.need, 1) > 0 }) {
+			break
+		}
+		if m.held != nil && m.room().CPU > 0 {
+			c.replyIfAny(m)
 		}
 	}
 }
 
+// replyIfAny answers a held report if there are orders for the machine.
+func (c *Core) replyIfAny(m *machine) {
+	if m.held == nil || m.epoch != c.lead.term {
+		return
+	}
+	if os := append(c.orders(m), c.startOn(m)...); len(os) > 0 {
+		c.sendReply(m, os)
+	}
+}
+
 // releaseHeld answers all held reports.
 func (c *Core) releaseHeld() {
 	for _, m := range c.lead.fleet {
@@ -504,10 +574,8 @@
 	if c.lead == nil {
 		return
 	}
-	for _, m := range c.lead.fleet {
-		if m.held != nil && m.held.ref == ref {
-			m.held = nil
-		}
+	if m := c.lead.holding[ref]; m != nil {
+		c.unhold(m)
 	}
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"sort"
 	"time"
@@ -19,10 +20,6 @@
 	late bool // its slot was found by earliest fit
 }
 
-// waitQueue is all bookings in timeline order: by start, then by submission.
-// What cannot be in time any more yields to what still can.
-type waitQueue []*booking
-
 // lateYield is by how much a booking that misses its deadline anyway stands
 // back in the queue; beyond that it takes its turn, so that it never starves.
 const lateYield = 90 * time.Second
@@ -35,29 +32,39 @@
 	return b.Start
 }
 
-func (b *booking) before(o *booking) bool {
-	if x := b.turn().Compare(o.turn()); x != 0 {
+// waitQueue is the jobs that have bookings, each at the turn of its first one,
+// then by submission. Going through it while every job moves on to its next
+// booking as it is served is going through all bookings in timeline order, at
+// the cost of the jobs alone.
+type waitQueue []*job
+
+func (j *job) before(o *job) bool {
+	if x := j.turn.Compare(o.turn); x != 0 {
 		return x < 0
 	}
-	if !b.job.submitted.Equal(o.job.submitted) {
-		return b.job.submitted.Before(o.job.submitted)
+	if !j.submitted.Equal(o.submitted) {
+		return j.submitted.Before(o.submitted)
 	}
-	return b.job.spec.ID < o.job.spec.ID
+	return j.spec.ID < o.spec.ID
 }
 
-func (q *waitQueue) add(b *booking) {
-	i := sort.Search(len(*q), func(i int) bool { return b.before((*q)[i]) })
-	*q = slices.Insert(*q, i, b)
-}
-
-func (q *waitQueue) remove(b *booking) {
-	i := sort.Search(len(*q), func(i int) bool { return !(*q)[i].before(b) })
-	for ; i < len(*q); i++ {
-		if (*q)[i] == b {
-			*q = slices.Delete(*q, i, i+1)
+// place puts the job where its first booking stands, or takes it out when it
+// has none.
+func (q *waitQueue) place(j *job) {
+	if j.queued {
+		if len(j.books) > 0 && j.books[0].turn().Equal(j.turn) {
 			return
 		}
+		i := sort.Search(len(*q), func(i int) bool { return !(*q)[i].before(j) })
+		*q = slices.Delete(*q, i, i+1)
+		j.queued = false
 	}
+	if len(j.books) == 0 {
+		return
+	}
+	j.turn, j.queued = j.books[0].turn(), true
+	i := sort.Search(len(*q), func(i int) bool { return j.before((*q)[i]) })
+	*q = slices.Insert(*q, i, j)
 }
 
 // window bounds how many waiting tasks of a job are booked at a time, so that
@@ -78,16 +85,22 @@
 		(len(j.errHosts) == 0 || !j.errHosts[m.host] || len(j.errHosts) > 2)
 }
 
+// stretched is how long a task of the job is booked for, without its image.
+func (c *Core) stretched(j *job) time.Duration {
+	return time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
+}
+
 // length is how long a booking of a task on the machine lasts.
-func (c *Core) length(j *job, m *machine) time.Duration {
+func (c *Core) length(j *job, m *machine) time.Duration { return lengthOn(j, m, c.stretched(j)) }
+
+func lengthOn(j *job, m *machine, base time.Duration) time.Duration {
 	if j.spec.Service {
 		return timeline.Forever
 	}
-	d := time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
 	if !m.images[j.spec.Image] {
-		d += fetch(&j.spec, m.flavor)
+		base += fetch(&j.spec, m.flavor)
 	}
-	return d
+	return base
 }
 
 // aim is something that a job's tasks should be in time for.
@@ -183,96 +196,165 @@
 	return m.tl.Earliest(from, length, j.need)
 }
 
+// offer is the slot that a machine offers for a task of a job.
+type slotOffer struct {
+	m      *machine
+	start  time.Time
+	length time.Duration
+	at     int // the machine's place in the fleet
+}
+
+// slotOffers is the offers for one job, the best on top: the latest start, or
+// the earliest for a job that has no deadline to meet; among ties the machine
+// with the most free room now.
+type slotOffers struct {
+	list  []slotOffer
+	dated bool
+}
+
+func (s *slotOffers) Len() int      { return len(s.list) }
+func (s *slotOffers) Swap(i, j int) { s.list[i], s.list[j] = s.list[j], s.list[i] }
+func (s *slotOffers) Less(i, j int) bool {
+	a, b := &s.list[i], &s.list[j]
+	if x := a.start.Compare(b.start); x != 0 {
+		return x > 0 == s.dated
+	}
+	if x, y := a.m.room().CPU, b.m.room().CPU; x != y {
+		return x > y
+	}
+	return a.at < b.at
+}
+func (s *slotOffers) Push(x any) { s.list = append(s.list, x.(slotOffer)) }
+func (s *slotOffers) Pop() any {
+	last := s.list[len(s.list)-1]
+	s.list = s.list[:len(s.list)-1]
+	return last
+}
+
+// offers asks every machine once. Booking a task changes the offer of its own
+// machine only, so the rest of an array costs no further search.
+func (c *Core) offers(j *job, base time.Duration, by time.Time, dated bool) (s *slotOffers, anyMachine bool) {
+	l := c.lead
+	s = &slotOffers{list: l.offers[:0], dated: dated}
+	for i, m := range l.fleet {
+		if !m.eligible(j) {
+			continue
+		}
+		anyMachine = true
+		d := lengthOn(j, m, base)
+		if at, ok := c.slot(j, m, d, by, dated); ok {
+			s.list = append(s.list, slotOffer{m, at, d, i})
+		}
+	}
+	l.offers = s.list
+	heap.Init(s)
+	return s, anyMachine
+}
+
 // book reserves room for the job's waiting tasks: each time on the machine that
 // offers the latest feasible start, among ties the one with the most free room
 // now. When an aim that takes all tasks is out of reach for one of them, the
 // others give their slots back and the next aim is tried; a job with none left
 // takes the earliest fit.
 func (c *Core) book(j *job) {
-	if j.halted() {
+	l := c.lead
+	n := min(j.waiting, window) - j.booked
+	if j.halted() || n <= 0 {
 		return
 	}
-	base := time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
+	defer l.queue.place(j)
+	base := c.stretched(j)
 	a, dated := c.aim(j, base)
-	for n := min(j.waiting, window) - j.booked; n > 0; n = min(j.waiting, window) - j.booked {
-		b := c.bestSlot(j, n, a.by, dated)
-		if b == nil && dated && c.anyMachine(j) {
+	offers, anyMachine := c.offers(j, base, a.by, dated)
+	for ; n > 0; n = min(j.waiting, window) - j.booked {
+		if len(offers.list) == 0 {
+			if !dated || !anyMachine {
+				break
+			}
 			j.missed = a.by
 			if a.whole {
 				c.unbook(j)
 			}
 			a, dated = c.aim(j, base)
+			offers, anyMachine = c.offers(j, base, a.by, dated)
 			continue
 		}
-		if b == nil {
-			// No machine at all: keep the place in the queue.
-			at := c.now
-			if dated {
-				at = a.by.Add(-base)
-			}
-			b = &booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, false}
+		o := &offers.list[0]
+		k := max(o.m.tl.Count(o.start, o.length, j.need, n), 1)
+		late := false
+		if !dated {
+			// What was never going to be in time does not yield: its tasks are long,
+			// and begun late they would keep machines up when all else is over.
+			_, late = c.aimFrom(j, j.submitted, j.submitted.Add(o.length*11/10), o.length)
 		}
-		j.books = append(j.books, b)
-		j.booked += b.Count
-		c.lead.queue.add(b)
-		if b.m != nil {
-			b.m.tl.Add(&b.Booking)
+		c.addBooking(&booking{timeline.Booking{Start: o.start, End: o.start.Add(o.length), Need: j.need, Count: k}, j, o.m, late})
+		if at, ok := c.slot(j, o.m, o.length, a.by, dated); ok {
+			o.start = at
+			heap.Fix(offers, 0)
+		} else {
+			heap.Pop(offers)
 		}
 	}
+	if n > 0 {
+		// No machine at all: keep the place in the queue.
+		at := c.now
+		if dated {
+			at = a.by.Add(-base)
+		}
+		c.addBooking(&booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, false})
+	}
 }
 
-func (c *Core) anyMachine(j *job) bool {
-	return slices.ContainsFunc(c.lead.fleet, func(m *machine) bool { return m.eligible(j) })
+// addBooking adds a booking, in the order of the job's others; the job's place
+// in the queue is for the caller to see to.
+func (c *Core) addBooking(b *booking) {
+	j := b.job
+	i := sort.Search(len(j.books), func(i int) bool { return b.turn().Before(j.books[i].turn()) })
+	j.books = slices.Insert(j.books, i, b)
+	j.booked += b.Count
+	if b.m != nil {
+		b.m.tl.Add(&b.Booking)
+		b.m.books = append(b.m.books, b)
+	}
 }
 
-// bestSlot finds room for up to n tasks on one machine, or nil.
-func (c *Core) bestSlot(j *job, n int, by time.Time, dated bool) *booking {
-	var best *machine
-	var start time.Time
-	var length time.Duration
-	for _, m := range c.lead.fleet {
-		if !m.eligible(j) {
-			continue
-		}
-		d := c.length(j, m)
-		s, ok := c.slot(j, m, d, by, dated)
-		if !ok {
-			continue
-		}
-		better := best == nil
-		if !better && s.Equal(start) {
-			better = best.room().CPU < m.room().CPU
-		} else if !better {
-			better = s.After(start) == dated
-		}
-		if better {
-			best, start, length = m, s, d
-		}
+// bookSoon has the job's waiting tasks booked once the input at hand has been
+// taken in: a lost machine returns many tasks of a job at once.
+func (c *Core) bookSoon(j *job) {
+	if !j.unplaced {
+		j.unplaced = true
+		c.lead.unplaced = append(c.lead.unplaced, j)
 	}
-	if best == nil {
-		return nil
+}
+
+// bookUnplaced books what bookSoon was called for.
+func (c *Core) bookUnplaced() {
+	l := c.lead
+	for _, j := range l.unplaced {
+		j.unplaced = false
+		c.book(j)
 	}
-	k := max(best.tl.Count(start, length, j.need, n), 1)
-	late := false
-	if !dated {
-		// What was never going to be in time does not yield: its tasks are long,
-		// and begun late they would keep machines up when all else is over.
-		_, late = c.aimFrom(j, j.submitted, j.submitted.Add(length*11/10), length)
+	if len(l.unplaced) > 0 {
+		l.unplaced = l.unplaced[:0]
+		l.dirty = true
 	}
-	return &booking{timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, j, best, late}
 }
 
 // drop takes a booking away whole.
 func (c *Core) drop(b *booking) {
-	c.lead.queue.remove(b)
-	b.job.booked -= b.Count
-	if i := slices.Index(b.job.books, b); i >= 0 {
-		b.job.books = slices.Delete(b.job.books, i, i+1)
+	j := b.job
+	j.booked -= b.Count
+	if i := slices.Index(j.books, b); i >= 0 {
+		j.books = slices.Delete(j.books, i, i+1)
 	}
 	if b.m != nil {
 		b.m.tl.Remove(&b.Booking)
+		if i := slices.Index(b.m.books, b); i >= 0 {
+			b.m.books = slices.Delete(b.m.books, i, i+1)
+		}
 	}
 	b.Count = 0
+	c.lead.queue.place(j)
 }
 
 // use takes one task off a booking.
@@ -304,29 +386,23 @@
 
 // unbookMachine books elsewhere what waits for the machine.
 func (c *Core) unbookMachine(m *machine) {
-	var jobs []*job
-	for _, b := range slices.Clone(c.lead.queue) {
-		if b.m == m {
-			c.drop(b)
-			jobs = append(jobs, b.job)
-		}
-	}
-	for _, j := range jobs {
-		c.book(j)
+	for len(m.books) > 0 {
+		b := m.books[len(m.books)-1]
+		c.drop(b)
+		c.bookSoon(b.job)
 	}
-	c.lead.dirty = true
 }
 
 // rebook finds new slots for jobs that have bookings whose time has come without
 // room, or none on a machine. A few at a time: it is the costliest thing we do.
 func (c *Core) rebook(limit int) {
 	var due []*job
-	for _, b := range c.lead.queue {
+	for _, j := range c.lead.queue {
 		if len(due) >= limit {
 			break
 		}
-		if (b.m == nil || b.Start.Before(c.now.Add(-300*time.Millisecond))) && !slices.Contains(due, b.job) {
-			due = append(due, b.job)
+		if b := j.books[0]; b.m == nil || b.Start.Before(c.now.Add(-300*time.Millisecond)) {
+			due = append(due, j)
 		}
 	}
 	for _, j := range due {
@@ -370,24 +446,24 @@
 // free room takes what waits for a busy one.
 func (c *Core) startOn(m *machine) []Order {
 	l := c.lead
-	if !c.acts() || !m.reported || m.record != recorded || !m.usable() || c.now.Before(m.retryAt) || l.owed[m.host] {
+	room := m.room()
+	if room.CPU <= 0 || len(l.queue) == 0 || !c.acts() || !m.reported || m.record != recorded || !m.usable() || c.now.Before(m.retryAt) || l.owed[m.host] {
 		return nil
 	}
 	var os []Order
-	room := m.room()
 	blocked := false
 	// What lies within a team's guarantee goes first: borrowing is for what is
 	// left unused.
-	for borrowing, i := !l.guarantees, 0; room.CPU > 0 && len(os) < 256; i++ {
+	for borrowing, i := !l.guarantees, 0; room.CPU > 0 && len(os) < 256; {
 		if i >= len(l.queue) {
 			if borrowing {
 				break
 			}
-			borrowing, i = true, -1
+			borrowing, i = true, 0
 			continue
 		}
-		b := l.queue[i]
-		j := b.job
+		j := l.queue[i]
+		i++
 		if !borrowing && j.team.guaranteed(j.need, 1) == 0 || !m.eligible(j) || !c.mayStart(j) {
 			continue
 		}
@@ -398,14 +474,15 @@
 		if m.warm > 0 && !j.prompt {
 			have.CPU -= m.warm
 		}
+		b := m.firstFor(j)
+		if b == nil {
+			continue // the machines it is booked on have the room and the image
+		}
 		n := j.need.Times(have, b.Count)
 		if n == 0 {
-			blocked = blocked || b.m == m
+			blocked = blocked || m.bookedFor(j)
 			continue
 		}
-		if b.m != nil && b.m != m && !m.images[j.spec.Image] && b.m.ready(j) {
-			continue // its own machine has the room and the image
-		}
 		if blocked {
 			// Something larger waits here for its slot: start only what does
 			// not stand in its way.
@@ -417,7 +494,9 @@
 				m.tl.Add(&b.Booking)
 			}
 		}
-		n = j.team.room(j.need, n)
+		if n = j.team.room(j.need, n); n == 0 {
+			j.team.short = true
+		}
 		if !borrowing {
 			n = j.team.guaranteed(j.need, n)
 		}
@@ -434,10 +513,10 @@
 		}
 		room = m.room()
 		if whole {
-			i-- // the booking has left the queue
+			i-- // the job has moved on to its next booking, or left the queue
 		}
 		if j.waiting > j.booked && j.booked < window/2 {
-			c.book(j)
+			c.bookSoon(j)
 		}
 		if m.suspect {
 			break
@@ -446,6 +525,29 @@
 	return os
 }
 
+// firstFor returns the job's first booking that the machine may serve. A machine
+// that lacks the image leaves alone what is booked on one that has both the
+// image and the room.
+func (m *machine) firstFor(j *job) *booking {
+	if m.images[j.spec.Image] {
+		return j.books[0]
+	}
+	for i, b := range j.books {
+		if b.m == nil || b.m == m || !b.m.ready(j) {
+			return b
+		}
+		if i >= 16 {
+			break // so many are about to start where they are booked
+		}
+	}
+	return nil
+}
+
+// bookedFor reports whether tasks of the job are booked on the machine.
+func (m *machine) bookedFor(j *job) bool {
+	return slices.ContainsFunc(m.books, func(b *booking) bool { return b.job == j })
+}
+
 // ready reports whether the job's tasks could start on the machine right away.
 func (m *machine) ready(j *job) bool {
 	return m.reported && m.usable() && m.images[j.spec.Image] && j.need.Fits(m.room())
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -192,15 +192,14 @@
 		c.dropRun(r)
 	}
 	if m.held != nil {
-		c.emit(AnswerReport{Ref: m.held.ref, Status: 503})
-		m.held = nil
+		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
 	}
 	delete(l.machines, host)
-	l.fleet = slices.DeleteFunc(l.fleet, func(x *machine) bool { return x == m })
-	c.accounted(host)
-	if m.record != unrecorded {
-		l.pipe.add(&change{writes: []Write{{Key: machineKeys + host}}, bulk: true})
+	if i := l.place(host); i < len(l.fleet) && l.fleet[i] == m {
+		l.fleet = slices.Delete(l.fleet, i, i+1)
 	}
+	c.accounted(host)
+	c.unrecord(m)
 }
 
 // housekeep does what the passing of time asks for.
@@ -321,12 +320,9 @@
 
 // wanted reports whether waiting tasks could use the machine.
 func (c *Core) wanted(m *machine) bool {
-	for _, b := range c.lead.queue {
-		if m.eligible(b.job) && c.mayStart(b.job) && b.job.team.room(b.Need, 1) > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.lead.queue, func(j *job) bool {
+		return m.eligible(j) && c.mayStart(j) && j.team.room(j.need, 1) > 0
+	})
 }
 
 // drain empties a machine that the cloud takes away or that is condemned: tasks
@@ -361,7 +357,7 @@
 		if s := r.job.spec.Snapshot; r.job.spec.SnapshotEvery > 0 && (m.leaving.IsZero() || left > s) {
 			r.drain = s + time.Second
 		}
-		c.lead.dirty = true
+		c.poke(m)
 	}
 }
 
@@ -480,9 +476,8 @@
 func (c *Core) demand() (cpus, work, ordinaryCPUs, ordinaryWork float64) {
 	l := c.lead
 	room := map[*team]float64{}
-	for _, b := range l.queue {
-		j := b.job
-		if b != j.books[0] || j.halted() || c.now.Before(j.retryAt) {
+	for _, j := range l.queue {
+		if j.halted() || c.now.Before(j.retryAt) {
 			continue
 		}
 		n := float64(j.waiting) * float64(j.need.CPU) / 1000
@@ -518,11 +513,11 @@
 		return
 	}
 	// A job that no machine at hand can take needs one of its own.
-	for _, b := range l.queue {
-		if b.m != nil || b.job.halted() || slices.ContainsFunc(l.fleet, func(m *machine) bool { return m.eligible(b.job) }) {
+	for _, j := range l.queue {
+		if j.books[0].m != nil || j.halted() || slices.ContainsFunc(l.fleet, func(m *machine) bool { return m.eligible(j) }) {
 			continue
 		}
-		if !c.rentFor(&b.job.spec, float64(min(b.job.waiting, 8))*b.job.spec.CPUs, true) {
+		if !c.rentFor(&j.spec, float64(min(j.waiting, 8))*j.spec.CPUs, true) {
 			return
 		}
 		break
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -14,6 +14,7 @@
 	writes []Write
 	size   int // estimated bytes
 	bulk   bool
+	fill   func() bool // called when it is about to go, to set what it writes; false: nothing any more
 	done   func(rev uint64)
 	failed func() // a condition of its own did not hold
 
@@ -69,6 +70,9 @@
 			rest = append(rest, ch)
 			continue
 		}
+		if ch.fill != nil && !ch.fill() {
+			continue
+		}
 		batch = append(batch, ch)
 		n, conds, size = n+len(ch.writes), conds+len(ch.when), size+ch.size
 	}
--- a/internal/core/teams.go
+++ b/internal/core/teams.go
@@ -12,6 +12,7 @@
 	guarantee, limit timeline.Resources // 0: none
 	used             timeline.Resources
 	jobs             int
+	short            bool // its limit has kept a task from a machine that had room
 }
 
 func newTeam(t config.Team) *team {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -400,10 +400,16 @@
 	Ranges string
 }
 
-// MachineRecord marks a machine that may hold tasks.
+// MachineRecord names machines that may hold tasks, many in one record: a large
+// fleet would otherwise spend the state service's allowance on them alone.
 type MachineRecord struct {
-	Flavor, Zone string
-	Reclaimable  bool
+	Machines []RecordedMachine
+}
+
+// RecordedMachine is a machine that may hold tasks.
+type RecordedMachine struct {
+	Host, Flavor, Zone string
+	Reclaimable        bool
 }
 
 // LeaderRecord names the leader, under its grant.
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -211,8 +211,18 @@
 	Ranges string `json:"ranges"`
 }
 
+// machineJSON names machines: one by its key ("machine", as the first version
+// wrote it), or many ("machines").
 type machineJSON struct {
-	Type        string `json:"type"` // "machine"
+	Type        string     `json:"type"`
+	Machines    []hostJSON `json:"machines,omitempty"`
+	Flavor      string     `json:"flavor,omitempty"`
+	Zone        string     `json:"zone,omitempty"`
+	Reclaimable bool       `json:"reclaimable,omitempty"`
+}
+
+type hostJSON struct {
+	Host        string `json:"host"`
 	Flavor      string `json:"flavor"`
 	Zone        string `json:"zone"`
 	Reclaimable bool   `json:"reclaimable,omitempty"`
@@ -275,7 +285,11 @@
 	case *core.ProgressRecord:
 		return progressJSON{"progress", v.Ranges}
 	case *core.MachineRecord:
-		return machineJSON{"machine", v.Flavor, v.Zone, v.Reclaimable}
+		m := machineJSON{Type: "machines"}
+		for _, h := range v.Machines {
+			m.Machines = append(m.Machines, hostJSON(h))
+		}
+		return m
 	case *core.LeaderRecord:
 		return leaderJSON{"leader", v.Node, v.Term}
 	case *core.TermRecord:
@@ -311,10 +325,17 @@
 		if json.Unmarshal(e.V, &p) == nil {
 			out.Value = &core.ProgressRecord{Ranges: p.Ranges}
 		}
-	case "machine":
+	case "machine", "machines":
 		var m machineJSON
 		if json.Unmarshal(e.V, &m) == nil {
-			out.Value = &core.MachineRecord{Flavor: m.Flavor, Zone: m.Zone, Reclaimable: m.Reclaimable}
+			rec := &core.MachineRecord{}
+			for _, h := range m.Machines {
+				rec.Machines = append(rec.Machines, core.RecordedMachine(h))
+			}
+			if tag.Type == "machine" {
+				rec.Machines = []core.RecordedMachine{{Host: e.K[strings.LastIndexByte(e.K, '/')+1:], Flavor: m.Flavor, Zone: m.Zone, Reclaimable: m.Reclaimable}}
+			}
+			out.Value = rec
 		}
 	case "leader":
 		var l leaderJSON
