--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -36,18 +36,19 @@
 	closing    bool // the final record is on its way
 	cancels    []UserCall
 
-	errHosts map[string]bool // machines on which its tasks failed
-	failures int             // since a task last completed
-	retryAt  time.Time       // not before this, after failures
-	any      bool            // a task has completed
-	missed   time.Time       // aims up to this are out of reach
-	took     observed        // seconds that its tasks took
-	books    []*booking      // places in the queue, in order
-	turn     time.Time       // of the first, while queued
-	queued   bool
-	unplaced bool   // to be booked soon
-	running  int    // tasks that workers report as running or saving
-	ended    []*run // completed, and not known to be on record
+	errHosts  map[string]bool // machines on which its tasks failed
+	failures  int             // since a task last completed
+	retryAt   time.Time       // not before this, after failures
+	any       bool            // a task has completed
+	missed    time.Time       // aims up to this are out of reach
+	took      observed        // seconds that its tasks took
+	books     []*booking      // places in the queue, in order
+	turn      time.Time       // of the first, while queued
+	queued    bool
+	unplaced  bool      // to be booked soon
+	localTill time.Time // until then it starts only where its image is
+	running   int       // tasks that workers report as running or saving
+	ended     []*run    // completed, and not known to be on record
 }
 
 // addJob takes a job into memory.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -380,7 +380,7 @@
 		if t.Phase == TaskRuns && r.phase != TaskRuns {
 			r.began = c.now
 			if j != nil {
-				m.images[j.spec.Image] = true
+				c.hasImage(m, j.spec.Image)
 				if r.slot != nil {
 					r.slot.End = c.now.Add(c.length(j, m))
 					m.tl.Touch()
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -474,9 +474,9 @@
 		if m.warm > 0 && !j.prompt {
 			have.CPU -= m.warm
 		}
-		b := m.firstFor(j)
+		b := c.firstFor(j, m)
 		if b == nil {
-			continue // the machines it is booked on have the room and the image
+			continue // better started elsewhere, where its image is
 		}
 		n := j.need.Times(have, b.Count)
 		if n == 0 {
@@ -527,11 +527,14 @@
 
 // firstFor returns the job's first booking that the machine may serve. A machine
 // that lacks the image leaves alone what is booked on one that has both the
-// image and the room.
-func (m *machine) firstFor(j *job) *booking {
+// image and the room, and at first what waits for any that has the image.
+func (c *Core) firstFor(j *job, m *machine) *booking {
 	if m.images[j.spec.Image] {
 		return j.books[0]
 	}
+	if c.now.Before(j.localTill) {
+		return nil
+	}
 	for i, b := range j.books {
 		if b.m == nil || b.m == m || !b.m.ready(j) {
 			return b
@@ -543,6 +546,31 @@
 	return nil
 }
 
+// localWait is how long a job that must start at once waits for room on a
+// machine that has its image. On a busy fleet room comes free many times a
+// second, and the fetch that a start elsewhere needs takes longer than that.
+const localWait = 700 * time.Millisecond
+
+// preferLocal has a new job wait for machines that have its image, if there
+// are enough of them.
+func (c *Core) preferLocal(j *job) {
+	l := c.lead
+	have := l.imageCPUs[j.spec.Image]
+	if !j.prompt || have < 4*int64(j.spec.Tasks)*j.need.CPU {
+		return
+	}
+	j.localTill = c.now.Add(localWait)
+	c.whenLeading(localWait, func() { l.dirty = true })
+}
+
+// hasImage takes note that the machine has an image.
+func (c *Core) hasImage(m *machine, image string) {
+	if !m.images[image] {
+		m.images[image] = true
+		c.lead.imageCPUs[image] += m.tl.Capacity().CPU
+	}
+}
+
 // bookedFor reports whether tasks of the job are booked on the machine.
 func (m *machine) bookedFor(j *job) bool {
 	return slices.ContainsFunc(m.books, func(b *booking) bool { return b.job == j })
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -194,6 +194,9 @@
 	if m.held != nil {
 		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
 	}
+	for image := range m.images {
+		l.imageCPUs[image] -= m.tl.Capacity().CPU
+	}
 	delete(l.machines, host)
 	if i := l.place(host); i < len(l.fleet) && l.fleet[i] == m {
 		l.fleet = slices.Delete(l.fleet, i, i+1)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -280,6 +280,7 @@
 			delete(l.accept, s.ID)
 			j := c.addJob(rec, false)
 			c.arrived(j)
+			c.preferLocal(j)
 			c.jobLoaded(j)
 			a.answerAll(c, AnswerUser{Status: 201, View: j.view()})
 		},
