Deadlines count again at the times that the operators' objectives name

Cause: an objective "deadline, 1.5 times" was ignored: a job that could not make its deadline had no aim left and went behind everything for 90 s.

Tried and not kept: a triage of the whole queue by Moore and Hodgson's rule, the work claimed in order of due times against the fleet's and the team's CPUs, the job that costs the most for what it is worth gives up its aim. The ends of running tasks are known too badly: aims were given up that the plain order meets.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -119,17 +119,22 @@
 
 // aimFrom is aim at the time from, for aims after missed.
 func (c *Core) aimFrom(j *job, from, missed time.Time, length time.Duration) (best aim, ok bool) {
-	if j.spec.Service {
-		return best, false
-	}
 	earliest := from.Add(length)
-	consider := func(t time.Time, whole bool) {
-		if !t.Before(earliest) && t.After(missed) && (!ok || t.Before(best.by)) {
-			best, ok = aim{t, whole}, true
+	c.eachAim(j, length, func(a aim) {
+		if !a.by.Before(earliest) && a.by.After(missed) && (!ok || a.by.Before(best.by)) {
+			best, ok = a, true
 		}
+	})
+	return best, ok
+}
+
+// eachAim calls f with every aim of the job, whose tasks run for about length.
+func (c *Core) eachAim(j *job, length time.Duration, f func(aim)) {
+	if j.spec.Service {
+		return
 	}
 	if j.spec.Dated {
-		consider(j.submitted.Add(j.spec.Due), true)
+		f(aim{j.submitted.Add(j.spec.Due), true})
 	}
 	for _, o := range c.cfg.Settings.Objectives {
 		if o.Class != "" && o.Class != j.spec.Class {
@@ -137,17 +142,20 @@
 		}
 		within := o.Within.Duration()
 		switch o.Kind {
+		case "deadline":
+			if j.spec.Dated && o.Times > 1 {
+				f(aim{j.submitted.Add(time.Duration(float64(j.spec.Due) * o.Times)), true})
+			}
 		case "wait":
-			consider(j.submitted.Add(within+length), false)
+			f(aim{j.submitted.Add(within + length), false})
 		case "finished":
-			consider(j.submitted.Add(within), true)
+			f(aim{j.submitted.Add(within), true})
 		case "guarantee":
 			if j.team.guarantee.CPU > 0 || j.team.guarantee.GPU > 0 {
-				consider(j.submitted.Add(within+length), false)
+				f(aim{j.submitted.Add(within + length), false})
 			}
 		}
 	}
-	return best, ok
 }
 
 // promptly reports whether jobs of the class have an objective on waiting that
