--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -29,8 +30,6 @@
 	wanted   map[string]*rental  // requests whose outcome is not known
 	count    uint64              // names never repeat: term and this
 	backlog  time.Duration
-	load     float64 // CPUs that arrivals keep busy, as of loadAt
-	loadAt   time.Time
 	burst    float64 // CPUs that a job takes which must start at once
 	burstAt  time.Time
 	patience map[string]float64 // by type, how much longer than usual boots take at present
@@ -378,8 +377,6 @@
 // arrived takes note of a new job's work.
 func (c *Core) arrived(j *job) {
 	rent := &c.lead.rent
-	rent.load = c.expected()
-	rent.loadAt = c.now
 	secs := loadMemory.Seconds()
 	if !j.spec.Service {
 		secs = c.estimate(j).Seconds()
@@ -392,13 +389,28 @@
 		rent.burst += 0.15 * (cpus - rent.burst)
 		rent.burstAt = c.now
 	}
-	rent.load += float64(j.spec.Tasks) * float64(j.need.CPU) / 1000 * secs / loadMemory.Seconds()
+	t := j.team
+	t.load = t.expected(c.now) + float64(j.spec.Tasks)*float64(j.need.CPU)/1000*secs/loadMemory.Seconds()
+	t.loadAt = c.now
 }
 
-// expected is how many CPUs the work of late arrivals keeps busy.
+// expected is how many CPUs the work of late arrivals keeps busy, as far as the
+// teams' limits let it.
 func (c *Core) expected() float64 {
-	rent := &c.lead.rent
-	return rent.load * math.Exp(-c.now.Sub(rent.loadAt).Seconds()/loadMemory.Seconds())
+	sum := 0.0
+	for _, name := range slices.Sorted(maps.Keys(c.lead.teams)) {
+		t := c.lead.teams[name]
+		x := t.expected(c.now)
+		if t.limit.CPU > 0 {
+			x = min(x, float64(t.limit.CPU)/1000)
+		}
+		sum += x
+	}
+	return sum
+}
+
+func (t *team) expected(now time.Time) float64 {
+	return t.load * math.Exp(-now.Sub(t.loadAt).Seconds()/loadMemory.Seconds())
 }
 
 // perCPU is what a CPU of the machine costs.
@@ -409,12 +421,12 @@
 	return m.flavor.Rate / m.flavor.CPUs
 }
 
-// consolidate empties the machine that is the dearest to keep when what runs on
-// it fits on the others, with some room for what is to be expected.
+// consolidate empties the machines that are the dearest to keep when what runs
+// on them fits on the others, with some room for what is to be expected.
 func (c *Core) consolidate() {
 	l := c.lead
 	used, free, draining := 0.0, 0.0, 0
-	var worst *machine
+	var spare []*machine
 	for _, m := range l.fleet {
 		if m.draining && !m.releasing {
 			draining++
@@ -428,10 +440,7 @@
 		if c.now.Sub(m.rentedAt) < 50*time.Second {
 			continue // it is paid for a minute anyway
 		}
-		if worst == nil || m.perCPU() > worst.perCPU()*1.01 ||
-			m.perCPU() > worst.perCPU()*0.99 && m.used.CPU*worst.tl.Capacity().CPU < worst.used.CPU*m.tl.Capacity().CPU {
-			worst = m
-		}
+		spare = append(spare, m)
 	}
 	waits := len(l.queue) > 0 && l.rent.backlog > time.Second
 	if waits {
@@ -442,18 +451,38 @@
 		}
 		return
 	}
-	if worst == nil || draining > len(l.fleet)/3 || !l.settled() {
+	if !l.settled() {
 		return
 	}
-	spare := free - worst.flavor.CPUs // what the others have, less what would move to them
-	if reserve := max(c.expected()-used, 0) + 0.1*used + 2; spare < reserve {
-		return
+	// The dearest first, among those of about the same price the emptiest.
+	dear := func(m *machine) int { return int(math.Round(50 * math.Log(m.perCPU()+1e-9))) }
+	slices.SortStableFunc(spare, func(a, b *machine) int {
+		if x := cmp.Compare(dear(b), dear(a)); x != 0 {
+			return x
+		}
+		return cmp.Compare(a.used.CPU*b.tl.Capacity().CPU, b.used.CPU*a.tl.Capacity().CPU)
+	})
+	reserve := max(c.expected()-used, 0) + 0.1*used + 2
+	most := draining + 1 + len(l.fleet)/drainPart
+	for _, m := range spare {
+		if draining >= most || draining > len(l.fleet)/3 {
+			break
+		}
+		if free-m.flavor.CPUs < reserve {
+			continue // what the others have, less what would move to them
+		}
+		free -= m.flavor.CPUs
+		draining++
+		m.draining = true
+		c.note(slog.LevelInfo, "machine drained", "machine", m.host, "type", m.flavorName, "cheap", m.reclaimable, "tasks", len(m.runs))
+		c.unbookMachine(m)
 	}
-	worst.draining = true
-	c.note(slog.LevelInfo, "machine drained", "machine", worst.host, "type", worst.flavorName, "cheap", worst.reclaimable, "tasks", len(worst.runs))
-	c.unbookMachine(worst)
 }
 
+// drainPart bounds how many machines begin to drain at a time: one, and one
+// more for so many that there are.
+const drainPart = 20
+
 // supply is how many CPUs are at hand or on their way.
 func (c *Core) supply(ordinaryOnly bool) (total, free float64) {
 	for _, m := range c.lead.fleet {
--- a/internal/core/teams.go
+++ b/internal/core/teams.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"yewpass/internal/config"
 	"yewpass/internal/timeline"
 )
@@ -12,6 +14,8 @@
 	guarantee, limit timeline.Resources // 0: none
 	used             timeline.Resources
 	jobs             int
+	load             float64 // CPUs that its arrivals keep busy, as of loadAt
+	loadAt           time.Time
 	short            bool // its limit has kept a task from a machine that had room
 }
 
