--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	hint    string // who leads, as far as we know
 	termMax uint64 // the highest term seen anywhere
 	links   map[string]bool
+	apart   time.Time // since when we have no link to the leader that we know
 	final   *lru.Cache[string, FinalRecord] // how recent jobs ended
 	reads   *rate.Limiter
 	stateUp bool
@@ -223,8 +224,13 @@
 	if c.lead != nil {
 		return c.lead.loaded
 	}
-	return c.hint != "" && (c.links[c.hint] || c.stateUp)
+	return c.hint != "" && (c.links[c.hint] || c.stateUp && c.now.Sub(c.apart) < apartFor)
 }
 
+// apartFor is how long a node that has lost its link to the leader counts as
+// ready all the same: a change of leader is over sooner. Without the link it can
+// only send submissions away; those who ask should be led to other nodes.
+const apartFor = 4 * time.Second
+
 // Leads reports whether the node leads and has authority at the given time.
 func (c *Core) Leads(now time.Time) bool { return c.lead != nil && now.Before(c.lead.until) }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -100,6 +100,9 @@
 	if term > c.termMax || c.hint != node {
 		c.note(slog.LevelInfo, "leader known", "leader", node, "term", term)
 	}
+	if c.hint != node {
+		c.apart = c.now
+	}
 	c.termMax = term
 	if node == c.cfg.HostName {
 		node = "" // our own earlier life: its key lasts until its grant ends
@@ -371,6 +374,9 @@
 func (l *leadership) settled() bool { return len(l.owed) == 0 }
 
 func (c *Core) peerLink(p PeerLink) {
+	if p.Name == c.hint && c.links[p.Name] {
+		c.apart = c.now
+	}
 	c.links[p.Name] = p.Up
 	if c.lead != nil && p.Up && !c.lead.acked[p.Name] {
 		c.emit(PeerSend{p.Name, PeerMsg{Kind: PeerLeader, Term: c.lead.term}})
