A new leader probes the machines that it must account for

Cause: after a change of leader, tasks accepted earlier wait until each recorded machine has reported, or is released when it has not for 1.5 report intervals. With hundreds of machines one is always dead: take-overs took 4 to 11 s.

Change: the record of a machine keeps its address, and the new leader sends each machine not heard of a command without orders. Its answer is a report under our epoch, after which the worker drops whatever an earlier leader still sends. It is taken only while nothing of ours can be on its way to the machine. A machine that answers neither is released after half the time. A report that was overtaken by its own probe's answer is answered without orders.

--- /dev/null
+++ b/internal/api/probe.go
@@ -0,0 +1,49 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"yewpass/internal/core"
+	"yewpass/internal/wire"
+)
+
+// Prober is the actor that sends commands to workers. The core bounds how many
+// are on their way.
+type Prober struct {
+	caller *wire.Caller
+	inbox  chan<- any
+}
+
+// NewProber returns a prober that delivers to inbox. Workers are many and seldom
+// probed, so no connection is kept.
+func NewProber(inbox chan<- any) *Prober {
+	return &Prober{wire.NewCaller("", time.Second, -1, 4*maxBody), inbox}
+}
+
+type commandJSON struct {
+	Epoch  uint64      `json:"epoch"`
+	Tenure uint64      `json:"tenure"`
+	Orders []orderJSON `json:"orders"`
+}
+
+// Do makes the call and delivers its reply.
+func (p *Prober) Do(call core.ProbeCall) {
+	go func() {
+		r := core.ProbeReply{Outcome: core.Unknown}
+		body, _ := json.Marshal(commandJSON{call.Epoch, call.Tenure, []orderJSON{}}) // plain struct: cannot fail
+		status, data, ok := p.caller.Call(http.MethodPost, call.Address+"/do", body, call.Within)
+		var j reportJSON
+		if ok && (status == http.StatusOK || status == http.StatusConflict) && json.Unmarshal(data, &j) == nil {
+			if rep, bad := j.report(); bad == "" {
+				r.Outcome, r.Report = core.OK, rep
+				if status == http.StatusConflict {
+					r.Outcome = core.Conflict
+				}
+			}
+		}
+		r.Ref = call.Ref
+		p.inbox <- r
+	}()
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,7 @@
 	ref     uint64
 	stores  map[uint64]func(StoreReply)
 	clouds  map[uint64]func(CloudReply)
+	probes  map[uint64]func(ProbeReply)
 	calls   map[uint64]*forwarded // users' requests at the leader's
 	wake    alarms
 	alarmed uint64
@@ -58,7 +59,7 @@
 	hint    string // who leads, as far as we know
 	termMax uint64 // the highest term seen anywhere
 	links   map[string]bool
-	apart   time.Time // since when we have no link to the leader that we know
+	apart   time.Time                       // since when we have no link to the leader that we know
 	final   *lru.Cache[string, FinalRecord] // how recent jobs ended
 	reads   *rate.Limiter
 	stateUp bool
@@ -97,7 +98,7 @@
 	final, _ := lru.New[string, FinalRecord](4096) // errs only for a size below 1
 	c := &Core{
 		cfg: cfg, pol: pol, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){},
+		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){}, probes: map[uint64]func(ProbeReply){},
 		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, stateUp: true,
 		reads:  rate.NewLimiter(rate.Limit(cfg.Settings.State.RPS/2), max(1, int(cfg.Settings.State.RPS/2))),
 		report: cfg.Settings.Workers.Report.Duration(),
@@ -140,6 +141,11 @@
 			delete(c.clouds, in.Ref)
 			f(in)
 		}
+	case ProbeReply:
+		if f := c.probes[in.Ref]; f != nil {
+			delete(c.probes, in.Ref)
+			f(in)
+		}
 	case PeerIn:
 		c.peerIn(in)
 	case PeerLink:
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -23,7 +23,9 @@
 // groupEvery is how often a record of machines is written at the most.
 const groupEvery = 250 * time.Millisecond
 
-func recordedSize(m *machine) int { return 70 + len(m.host) + len(m.flavorName) + len(m.zone) }
+func recordedSize(m *machine) int {
+	return 90 + len(m.host) + len(m.address) + len(m.flavorName) + len(m.zone)
+}
 
 // recordMachine has it written that the machine may hold tasks.
 func (c *Core) recordMachine(m *machine) {
@@ -72,7 +74,7 @@
 			ch.size = g.size
 			rec := &MachineRecord{}
 			for _, m := range g.machines {
-				rec.Machines = append(rec.Machines, RecordedMachine{m.host, m.flavorName, m.zone, m.reclaimable})
+				rec.Machines = append(rec.Machines, RecordedMachine{m.host, m.address, m.flavorName, m.zone, m.reclaimable})
 				if m.record == recording {
 					news = append(news, m)
 				}
@@ -105,7 +107,7 @@
 			continue
 		}
 		l.owed[r.Host] = true
-		m.record, m.group = recorded, g
+		m.record, m.group, m.address = recorded, g, r.Address
 		g.machines = append(g.machines, m)
 		g.size += recordedSize(m)
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -43,6 +43,8 @@
 	poked       []*machine          // see poke
 	unplaced    []*job              // see bookSoon
 	offers      []slotOffer         // scratch space
+	toProbe     []*machine          // see probeAll
+	probing     int                 // probes on their way
 	learned     uint64              // reports taken in
 	dirty       bool                // machines whose replies are held may have something to start
 	dispatchAt  time.Time           // not before this again
@@ -335,6 +337,7 @@
 		c.reportIn(r)
 	}
 	c.listMachines("", nil)
+	c.probeAll()
 	c.tickLead()
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -44,12 +44,15 @@
 // machine is a rented machine.
 type machine struct {
 	host, flavorName, zone string
+	address                string
 	flavor                 *Flavor // nil while the catalog is unknown
 	reclaimable            bool
 	record                 recordState // a successor must know of it before it may hold tasks
 	group                  *group      // the record that names it
 
 	reported        bool // in this term
+	probed          bool // and that only in answer to a probe
+	unreached       int  // probes in vain
 	tenure, counter uint64
 	epoch           uint64
 	dead            uint64    // its lease under tenures up to this one is surely over
@@ -150,6 +153,14 @@
 		return
 	}
 	m := c.machine(rep.Host, rep.Flavor, rep.Zone, rep.Reclaimable)
+	m.address = rep.Address
+	if m.probed && rep.Tenure == m.tenure && rep.Counter <= m.counter && c.leads() {
+		// Overtaken by its own answer to our probe: nothing new, but a worker
+		// that waits for its reply.
+		c.emit(AnswerReport{Ref: in.Ref, Status: 200, Epoch: l.term})
+		m.answered = c.now
+		return
+	}
 	if m.reported && (rep.Tenure < m.tenure || rep.Tenure == m.tenure && rep.Counter <= m.counter) || rep.Tenure <= m.dead {
 		// Delayed on the way: its task list is older than what we know.
 		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
@@ -159,6 +170,7 @@
 		// The worker has given up on it; this is its next report.
 		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
 	}
+	m.probed = false
 	c.learn(m, rep)
 	if m.record == unrecorded && c.leads() && !m.releasing {
 		c.recordMachine(m)
@@ -583,7 +595,7 @@
 // answered any more, and false while that cannot be told.
 func (c *Core) leaseOver(m *machine) (time.Time, bool) {
 	l := c.lead
-	if !l.owed[m.host] {
+	if !l.owed[m.host] && !m.probed {
 		if m.answered.IsZero() {
 			return time.Time{}, false
 		}
--- /dev/null
+++ b/internal/core/probe.go
@@ -0,0 +1,71 @@
+package core
+
+import "time"
+
+// Probes speed up a take-over: tasks accepted earlier wait until every machine
+// that may hold one is accounted for, and left to themselves workers find the
+// new leader over a whole report interval and the time to be sent on. A probe is
+// a command without orders: its answer is a report by a worker that has seen our
+// epoch and so drops whatever an earlier leader still sends.
+const (
+	probeWidth  = 24 // at a time: each takes a socket
+	probeWithin = 1200 * time.Millisecond
+	probeTries  = 2 // in vain, and the machine counts as out of reach
+)
+
+// probeAll begins to probe the machines that are owed.
+func (c *Core) probeAll() {
+	l := c.lead
+	for _, m := range l.fleet {
+		if l.owed[m.host] && m.address != "" {
+			l.toProbe = append(l.toProbe, m)
+		}
+	}
+	c.probeMore()
+}
+
+func (c *Core) probeMore() {
+	l := c.lead
+	for l.probing < probeWidth && len(l.toProbe) > 0 && c.acts() {
+		m := l.toProbe[0]
+		l.toProbe = l.toProbe[1:]
+		c.probe(m, 1) // most machines are in their first session
+	}
+}
+
+// probe probes a machine unless it has reported by itself. Then starts may be on
+// their way to it, of which the answer need not know.
+func (c *Core) probe(m *machine, tenure uint64) {
+	l := c.lead
+	if !l.owed[m.host] || m.reported || m.releasing {
+		return
+	}
+	l.probing++
+	ref := c.nextRef()
+	c.probes[ref] = func(r ProbeReply) {
+		if c.lead != l {
+			return
+		}
+		l.probing--
+		rep := &r.Report
+		switch {
+		case !l.owed[m.host] || m.reported || m.releasing:
+		case r.Outcome != Unknown && rep.Epoch > l.term:
+			c.stepDown("a worker has seen a newer epoch")
+			return
+		case r.Outcome != Unknown && rep.Host != m.host:
+			// Another machine has the address now.
+		case r.Outcome == OK && rep.Epoch == l.term:
+			m.probed = true
+			c.learn(m, rep)
+		case r.Outcome == Conflict && rep.Tenure != tenure:
+			c.probe(m, rep.Tenure)
+		default:
+			if m.unreached++; m.unreached < probeTries {
+				l.toProbe = append(l.toProbe, m)
+			}
+		}
+		c.probeMore()
+	}
+	c.emit(ProbeCall{Ref: ref, Address: m.address, Epoch: l.term, Tenure: tenure, Within: probeWithin})
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -257,6 +257,9 @@
 		// Everything waits for it. When most others have found us, it is gone
 		// or cut off.
 		silent = takeover
+		if m.unreached >= probeTries {
+			silent /= 2 // it does not answer us either
+		}
 	}
 	if !m.leaving.IsZero() && c.now.After(m.leaving.Add(time.Second)) {
 		// Its notice has run out: a report that is a little overdue says enough.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -367,6 +367,22 @@
 	Within      time.Duration
 }
 
+// ProbeCall shows a worker our epoch, with no orders, and asks for its report.
+type ProbeCall struct {
+	Ref           uint64
+	Address       string
+	Epoch, Tenure uint64
+	Within        time.Duration
+}
+
+// ProbeReply answers a ProbeCall: OK when the worker has taken note of the
+// epoch, Conflict when the tenure is another or it knows a newer epoch.
+type ProbeReply struct {
+	Ref     uint64
+	Outcome Outcome
+	Report  Report
+}
+
 // PeerSend sends a message to a peer.
 type PeerSend struct {
 	To  string
@@ -408,8 +424,8 @@
 
 // RecordedMachine is a machine that may hold tasks.
 type RecordedMachine struct {
-	Host, Flavor, Zone string
-	Reclaimable        bool
+	Host, Address, Flavor, Zone string
+	Reclaimable                 bool
 }
 
 // LeaderRecord names the leader, under its grant.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,7 @@
 		core:    core.New(cfg, pol, binary.LittleEndian.Uint64(seed[:])),
 		state:   state.New(cfg.External.State, inbox),
 		cloud:   cloud.New(cfg.External.Cloud, inbox),
+		prober:  api.NewProber(inbox),
 		mesh:    peer.New(cfg.HostName, cfg.Seeds, peers, inbox),
 		waiting: map[uint64]chan<- any{},
 		refs:    map[chan<- any]uint64{},
@@ -73,8 +74,8 @@
 	}
 	failed := make(chan error, 1)
 	go func() {
-		// What is left after peers, state, cloud and some spare.
-		conns := max(16, cfg.Settings.Limits.MaxConnections*9/10-32)
+		// What is left after peers, state, cloud, probes and some spare.
+		conns := max(16, cfg.Settings.Limits.MaxConnections*9/10-64)
 		failed <- api.Serve(clients, conns, inbox, &ready)
 	}()
 	slog.Info("node started", "node", cfg.HostName, "zone", cfg.Site)
@@ -85,6 +86,7 @@
 	core    *core.Core
 	state   *state.Client
 	cloud   *cloud.Client
+	prober  *api.Prober
 	mesh    *peer.Mesh
 	ref     uint64
 	waiting map[uint64]chan<- any // whom to answer
@@ -167,6 +169,8 @@
 		n.state.Do(o)
 	case core.CloudCall:
 		n.cloud.Do(o)
+	case core.ProbeCall:
+		n.prober.Do(o)
 	case core.PeerSend:
 		n.mesh.Send(o)
 	case core.Note:
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -131,14 +131,7 @@
 	m.news = false
 	m.plan++
 	id, tenure, sent := m.flight, m.tenure, m.now
-	rep := core.Report{Host: m.host, Address: "10.1.0.1:9000", Flavor: m.flavor.name, Zone: m.zone, Reclaimable: m.reclaimable,
-		Tenure: m.tenure, Counter: m.counter, Epoch: m.epoch}
-	if !m.leaves.IsZero() {
-		rep.HasNotice, rep.Notice = true, m.leaves.Sub(m.now)
-	}
-	for _, t := range m.tasks {
-		rep.Tasks = append(rep.Tasks, core.TaskReport{Task: t.id, Try: t.try, Phase: t.phase, Cause: t.cause})
-	}
+	rep := m.describe()
 	n := m.nodes[m.node%len(m.nodes)]
 	back := func(f func()) { m.net.send(n.name, m.host, func() { m.do(f) }) }
 	m.net.send(m.host, n.name, func() {
@@ -155,6 +148,46 @@
 	m.after(4*time.Second, func() { m.do(func() { m.failed(id) }) })
 }
 
+// describe is what the worker says of itself.
+func (m *worker) describe() core.Report {
+	rep := core.Report{Host: m.host, Address: m.host + workerPort, Flavor: m.flavor.name, Zone: m.zone, Reclaimable: m.reclaimable,
+		Tenure: m.tenure, Counter: m.counter, Epoch: m.epoch}
+	if !m.leaves.IsZero() {
+		rep.HasNotice, rep.Notice = true, m.leaves.Sub(m.now)
+	}
+	for _, t := range m.tasks {
+		rep.Tasks = append(rep.Tasks, core.TaskReport{Task: t.id, Try: t.try, Phase: t.phase, Cause: t.cause})
+	}
+	return rep
+}
+
+// workerPort ends a worker's address.
+const workerPort = ":9000"
+
+// command is a direct command without orders.
+func (m *worker) command(epoch, tenure uint64) (core.Outcome, core.Report) {
+	m.counter++
+	if epoch < m.epoch || tenure != m.tenure {
+		return core.Conflict, m.describe()
+	}
+	m.sees(epoch)
+	if m.news && m.flight == 0 {
+		m.planReport(max(0, m.sent.Add(500*time.Millisecond).Sub(m.now)))
+	}
+	return core.OK, m.describe()
+}
+
+// sees takes note of an epoch; a higher one is news.
+func (m *worker) sees(epoch uint64) {
+	if epoch > m.epoch {
+		m.epoch = epoch
+		if m.now.Sub(m.told) >= m.lease/2 {
+			m.told = m.now
+			m.news = true
+		}
+	}
+}
+
 // failed: no answer of use; the next node is tried a second later.
 func (m *worker) failed(id int) {
 	if m.flight != id {
@@ -194,13 +227,7 @@
 		m.answered = sent
 		m.watchLease()
 	}
-	if a.Epoch > m.epoch {
-		m.epoch = a.Epoch
-		if m.now.Sub(m.told) >= m.lease/2 {
-			m.told = m.now
-			m.news = true
-		}
-	}
+	m.sees(a.Epoch)
 	for _, o := range a.Orders {
 		m.execute(o)
 	}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"yewpass/internal/cloud"
@@ -298,6 +299,26 @@
 			r.Ref = o.Ref
 			return r
 		})
+	case core.ProbeCall:
+		r, over, life := core.ProbeReply{Ref: o.Ref, Outcome: core.Unknown}, false, n.life
+		deliver := func() {
+			if n.alive && n.life == life && !over {
+				over = true
+				n.input(r)
+			}
+		}
+		host := strings.TrimSuffix(o.Address, workerPort)
+		n.net.send(n.name, host, func() {
+			m := n.workers[host]
+			if m == nil {
+				return
+			}
+			m.do(func() {
+				outcome, rep := m.command(o.Epoch, o.Tenure)
+				n.net.send(host, n.name, func() { r.Outcome, r.Report = outcome, rep; deliver() })
+			})
+		})
+		n.after(o.Within, deliver)
 	case core.PeerSend:
 		for _, p := range n.nodes {
 			if p.name == o.To && n.links[p.name].up {
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -223,6 +223,7 @@
 
 type hostJSON struct {
 	Host        string `json:"host"`
+	Address     string `json:"address,omitempty"`
 	Flavor      string `json:"flavor"`
 	Zone        string `json:"zone"`
 	Reclaimable bool   `json:"reclaimable,omitempty"`
