--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -128,6 +128,12 @@
 	return best, ok
 }
 
+// earlyPart is at which part of the time that an objective gives a job to finish
+// it is first aimed, in hundredths: the last task of a large array takes twice as
+// long as most do, and booked as late as can be it would be too late. Idle jobs
+// stand back for others instead.
+const earlyPart = 60
+
 // eachAim calls f with every aim of the job, whose tasks run for about length.
 func (c *Core) eachAim(j *job, length time.Duration, f func(aim)) {
 	if j.spec.Service {
@@ -149,6 +155,9 @@
 		case "wait":
 			f(aim{j.submitted.Add(within + length), false})
 		case "finished":
+			if j.spec.Urgency > Idle {
+				f(aim{j.submitted.Add(within * earlyPart / 100), true})
+			}
 			f(aim{j.submitted.Add(within), true})
 		case "guarantee":
 			if j.team.guarantee.CPU > 0 || j.team.guarantee.GPU > 0 {
