Tests: the fast search against the plain one, scaling benchmarks, a large take-over

A test books on random fleets and queues with the search that asks each machine once and with the paper's loop, and compares every booking.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -298,12 +298,7 @@
 		}
 		o := &offers.list[0]
 		k := max(o.m.tl.Count(o.start, o.length, j.need, n), 1)
-		late := false
-		if !dated {
-			// What was never going to be in time does not yield: its tasks are long,
-			// and begun late they would keep machines up when all else is over.
-			_, late = c.aimFrom(j, j.submitted, j.submitted.Add(o.length*11/10), o.length)
-		}
+		late := !dated && c.yields(j, o.length)
 		c.addBooking(&booking{timeline.Booking{Start: o.start, End: o.start.Add(o.length), Need: j.need, Count: k}, j, o.m, late})
 		if at, ok := c.slot(j, o.m, o.length, a.by, dated); ok {
 			o.start = at
@@ -322,6 +317,14 @@
 	}
 }
 
+// yields reports whether a task that takes so long and has no aim left stands
+// back. What was never going to be in time does not: its tasks are long, and
+// begun late they would keep machines up when all else is over.
+func (c *Core) yields(j *job, length time.Duration) bool {
+	_, ok := c.aimFrom(j, j.submitted, j.submitted.Add(length*11/10), length)
+	return ok
+}
+
 // addBooking adds a booking, in the order of the job's others; the job's place
 // in the queue is for the caller to see to.
 func (c *Core) addBooking(b *booking) {
--- /dev/null
+++ b/internal/core/scale_test.go
@@ -0,0 +1,253 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"yewpass/internal/config"
+	"yewpass/internal/policy"
+	"yewpass/internal/timeline"
+)
+
+var t0 = time.Unix(1_900_000_000, 0)
+
+// leaderOf returns a leader that knows n machines of three types, all of them
+// reporting.
+func leaderOf(tb testing.TB, n int) *Core {
+	tb.Helper()
+	cfg := &config.Config{HostName: "n0"}
+	s := &cfg.Settings
+	s.Workers = config.Workers{Report: 5, Lease: 29, Cancel: 54}
+	s.State = config.State{RPS: 250, WriteRPS: 60, ValueKB: 16, TxnOps: 12}
+	s.Cloud = config.Cloud{RPS: 10, ListLag: 4}
+	s.Teams = []config.Team{{Name: "t", CPUs: 100}}
+	s.Objectives = []config.Objective{{Kind: "finished", Class: "c", Within: 200}, {Kind: "wait", Class: "u", Within: 6}}
+	pol, err := policy.Parse(nil)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c := New(cfg, pol, 7)
+	c.now = t0
+	c.begin(1, 1, 1, t0)
+	c.out = nil
+	l := c.lead
+	l.loaded, l.margin, l.until = true, 0.15, t0.Add(1000*time.Hour)
+	for i, cpus := range []float64{4, 8, 32} {
+		l.rent.flavors = append(l.rent.flavors, Flavor{Name: fmt.Sprint("f", i), Capacity: timeline.Capacity(cpus, 0, 4*cpus), CPUs: cpus, FetchGBps: 0.4, Rate: cpus, LowRate: cpus / 3, Ready: 20 * time.Second, Zones: []string{"a"}})
+	}
+	for i := range n {
+		m := c.machine(fmt.Sprintf("host-%06d", i), fmt.Sprint("f", i%3), "a", true)
+		m.reported, m.record, m.tenure, m.epoch, m.seen = true, recorded, 1, 1, t0
+	}
+	return c
+}
+
+// newJob takes on a job without booking it.
+func newJob(c *Core, id int, tasks int, rng *rand.Rand) *job {
+	spec := JobSpec{ID: fmt.Sprintf("wk-%06d", id), Class: "c", Owner: "t", Urgency: Standard, Tasks: tasks, CPUs: float64(1 + rng.IntN(4)), MemGB: 1,
+		Image: fmt.Sprint("img", rng.IntN(6)), ImageGB: 1, Reclaimable: true, Runtime: time.Duration(10+rng.IntN(60)) * time.Second}
+	if rng.IntN(2) == 0 {
+		spec.Class, spec.Dated, spec.Due = "u", true, time.Duration(5+rng.IntN(200))*time.Second
+	}
+	j := c.addJob(&JobRecord{Spec: spec, Submitted: c.now.Round(0)}, false)
+	for i := range tasks {
+		j.pending.set(i)
+		j.waiting++
+	}
+	return j
+}
+
+// plainBook is book as the paper writes it: every machine is asked for every
+// booking.
+func (c *Core) plainBook(j *job) {
+	base := c.stretched(j)
+	a, dated := c.aim(j, base)
+	for n := min(j.waiting, window) - j.booked; n > 0; n = min(j.waiting, window) - j.booked {
+		var best *machine
+		var start time.Time
+		var length time.Duration
+		for _, m := range c.lead.fleet {
+			if !m.eligible(j) {
+				continue
+			}
+			d := c.length(j, m)
+			s, ok := c.slot(j, m, d, a.by, dated)
+			if ok && (best == nil || s.Equal(start) && best.room().CPU < m.room().CPU || !s.Equal(start) && s.After(start) == dated) {
+				best, start, length = m, s, d
+			}
+		}
+		if best == nil && dated {
+			j.missed = a.by
+			if a.whole {
+				c.unbook(j)
+			}
+			a, dated = c.aim(j, base)
+			continue
+		}
+		if best == nil {
+			return
+		}
+		k := max(best.tl.Count(start, length, j.need, n), 1)
+		c.addBooking(&booking{Booking: timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, job: j, m: best, late: !dated && c.yields(j, length)})
+		c.lead.queue.place(j)
+	}
+}
+
+// TestBookAsPlain compares the search that asks each machine once with the plain
+// one, on random fleets and queues.
+func TestBookAsPlain(t *testing.T) {
+	for seed := range uint64(60) {
+		rng, twin := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 1))
+		n := 1 + rng.IntN(60)
+		twin.IntN(60)
+		fast, plain := leaderOf(t, n), leaderOf(t, n)
+		for _, x := range []struct {
+			c *Core
+			r *rand.Rand
+		}{{fast, rng}, {plain, twin}} {
+			for _, m := range x.c.lead.fleet {
+				if x.r.IntN(2) == 0 {
+					x.c.hasImage(m, fmt.Sprint("img", x.r.IntN(6)))
+				}
+				if x.r.IntN(3) == 0 {
+					m.reported, m.readyAt = false, t0.Add(time.Duration(x.r.IntN(40))*time.Second)
+				}
+			}
+		}
+		for i := range 1 + rng.IntN(25) {
+			if i == 0 {
+				twin.IntN(25)
+			}
+			tasks := 1 + rng.IntN(300)
+			twin.IntN(300)
+			a, b := newJob(fast, i, tasks, rng), newJob(plain, i, tasks, twin)
+			fast.book(a)
+			plain.plainBook(b)
+			if len(a.books) != len(b.books) {
+				t.Fatalf("seed %d, job %d: %d bookings, plain search has %d", seed, i, len(a.books), len(b.books))
+			}
+			for k := range a.books {
+				x, y := a.books[k], b.books[k]
+				if x.m.host != y.m.host || !x.Start.Equal(y.Start) || x.Count != y.Count {
+					t.Fatalf("seed %d, job %d, booking %d: %s at %v for %d, plain search has %s at %v for %d", seed, i, k,
+						x.m.host, x.Start.Sub(t0), x.Count, y.m.host, y.Start.Sub(t0), y.Count)
+				}
+			}
+		}
+	}
+}
+
+// sizes runs a benchmark on small and large fleets with short and long queues.
+func sizes(b *testing.B, f func(b *testing.B, c *Core, rng *rand.Rand)) {
+	for _, machines := range []int{100, 1200} {
+		for _, jobs := range []int{5, 200} {
+			b.Run(fmt.Sprintf("machines=%d/jobs=%d", machines, jobs), func(b *testing.B) {
+				rng := rand.New(rand.NewPCG(1, 2))
+				c := leaderOf(b, machines)
+				for _, m := range c.lead.fleet { // all busy
+					c.fill(m)
+				}
+				for i := range jobs {
+					c.book(newJob(c, 1000+i, 100, rng))
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				f(b, c, rng)
+			})
+		}
+	}
+}
+
+// fill has tasks run on all of a machine.
+func (c *Core) fill(m *machine) {
+	j := c.lead.jobs["wk-1"]
+	if j == nil {
+		j = c.addJob(&JobRecord{Spec: JobSpec{ID: "wk-1", Class: "r", Owner: "t", Tasks: MaxTasks, CPUs: 1, MemGB: 1, Image: "img0", Reclaimable: true, Runtime: time.Minute}, Submitted: t0}, false)
+		j.any = true
+	}
+	for range m.room().CPU / 1000 {
+		r := &run{id: TaskID{"wk-1", len(j.runs)}, try: uint64(len(j.runs) + 1), m: m, phase: TaskRuns, ordered: c.now, began: c.now}
+		m.runs = append(m.runs, r)
+		c.occupy(r, j)
+	}
+}
+
+func reportOf(m *machine) Report {
+	r := Report{Host: m.host, Address: m.address, Flavor: m.flavorName, Zone: m.zone, Reclaimable: true, Tenure: m.tenure, Counter: m.counter + 1, Epoch: 1}
+	for _, x := range m.runs {
+		r.Tasks = append(r.Tasks, TaskReport{Task: x.id, Try: x.try, Phase: x.phase})
+	}
+	return r
+}
+
+func BenchmarkReport(b *testing.B) {
+	sizes(b, func(b *testing.B, c *Core, _ *rand.Rand) {
+		for i := range b.N {
+			m := c.lead.fleet[i%len(c.lead.fleet)]
+			c.Step(t0.Add(time.Duration(i)*time.Microsecond), ReportIn{Ref: uint64(i), Report: reportOf(m)})
+		}
+	})
+}
+
+func BenchmarkBookArray(b *testing.B) {
+	sizes(b, func(b *testing.B, c *Core, rng *rand.Rand) {
+		j := newJob(c, 1, 1800, rng)
+		for range b.N {
+			c.book(j)
+			c.unbook(j)
+		}
+	})
+}
+
+func BenchmarkPoll(b *testing.B) {
+	sizes(b, func(b *testing.B, c *Core, _ *rand.Rand) {
+		for i := range b.N {
+			c.Step(t0, UserCall{Ref: uint64(i), Op: OpGet, ID: "wk-001000"})
+		}
+	})
+}
+
+func BenchmarkHousekeep(b *testing.B) {
+	sizes(b, func(b *testing.B, c *Core, _ *rand.Rand) {
+		for range b.N {
+			c.out = c.out[:0]
+			c.housekeep()
+		}
+	})
+}
+
+// BenchmarkTakeOver loads the records of a fleet and its jobs and takes in the
+// first report of every machine.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, machines := range []int{100, 1200} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			old := leaderOf(b, machines)
+			var entries []Entry
+			for i := range 200 {
+				j := newJob(old, i, 100, rng)
+				entries = append(entries, Entry{Key: jobKeys + j.spec.ID, Value: j.rec, Rev: 1})
+			}
+			rec := &MachineRecord{}
+			for _, m := range old.lead.fleet {
+				old.fill(m)
+				rec.Machines = append(rec.Machines, RecordedMachine{Host: m.host, Flavor: m.flavorName, Zone: m.zone, Reclaimable: true})
+			}
+			entries = append(entries, Entry{Key: machineKeys + "1-1", Value: rec, Rev: 1})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				c := leaderOf(b, 0)
+				for _, e := range entries {
+					c.loadEntry(e)
+				}
+				c.loadedAll()
+				for i, m := range old.lead.fleet {
+					c.Step(t0, ReportIn{Ref: uint64(i), Report: reportOf(m)})
+				}
+			}
+		})
+	}
+}
