Releases go to the cloud before rentals

Machines are recorded as gone only when the release is answered, and earlier tasks wait for that.

Ruled out: the probes (the machines were found dead at 4.5 s), the state service.

--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -238,8 +238,10 @@
 	c.giveBack()
 	c.consolidate()
 	c.rebook(24)
-	c.rentMore(secs(c.pol.RentBacklog(e)), secs(c.pol.OrdinaryBacklog(e)))
+	// Releases go first: a take-over may wait for one, and rentals use up what
+	// calls the cloud allows for as long as there is a backlog.
 	c.pumpReleases()
+	c.rentMore(secs(c.pol.RentBacklog(e)), secs(c.pol.OrdinaryBacklog(e)))
 }
 
 // review looks after one machine.
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -131,6 +131,8 @@
 			Lease: config.Seconds(dur(a, "lease", 20*time.Second).Seconds()), Cancel: config.Seconds(dur(a, "cancel", 40*time.Second).Seconds())}
 	case "state":
 		cs.State = config.State{RPS: num(a, "rps", 250), WriteRPS: num(a, "write_rps", 100), ValueKB: num(a, "value_kb", 16), TxnOps: int(num(a, "txn_ops", 48))}
+	case "cloud":
+		cs.Cloud = config.Cloud{RPS: num(a, "rps", 6), ListLag: 3}
 	case "team":
 		cs.Teams = append(cs.Teams, config.Team{Name: f[1], CPUs: num(a, "cpus", 0), CPUsMax: num(a, "max", 0), GPUs: num(a, "gpus", 0), GPUsMax: num(a, "gpus_max", 0)})
 	case "objective":
