One bad name does not spoil the record of many machines; tests of probes and aims

A record now names many machines, so what one worker says of itself must not make the whole malformed: names are bounded on entry (400, with tests), counted at their worst, and only machines of a known type are recorded, which alone may hold tasks.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -166,7 +166,8 @@
 		t.Error(status, v)
 	}
 	for _, c := range [][2]string{{`"tenure":1,`, ``}, {`"counter":88,`, ``}, {`"tenure":1`, `"tenure":"x"`}, {`"host":"host-000231"`, `"host":""`},
-		{`wk-000412/3`, `wk-000412`}, {`wk-000412/3`, `wk-000412/-1`}, {`"try":2`, `"try":-2`}, {`"hall":"a"`, `"hall":null`}} {
+		{`wk-000412/3`, `wk-000412`}, {`wk-000412/3`, `wk-000412/-1`}, {`"try":2`, `"try":-2`}, {`"hall":"a"`, `"hall":null`}, {`"hall":"a"`, `"hall":"` + strings.Repeat("a", 600) + `"`},
+		{`"flavor":"g8"`, `"flavor":"` + strings.Repeat("a", 600) + `"`}, {`10.1.0.232:9000`, strings.Repeat("1", 200)}} {
 		if status, v, _ := post(t, url+"/hello", strings.Replace(body, c[0], c[1], 1)); status != 400 {
 			t.Errorf("%s: %d %v", c[1], status, v)
 		}
--- /dev/null
+++ b/internal/api/probe_test.go
@@ -0,0 +1,47 @@
+package api
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+func TestProbe(t *testing.T) {
+	const report = `{"host":"host-1","address":"x","flavor":"g8","hall":"a","tenure":2,"counter":9,"epoch":7,"shards":[{"shard":"wk-1/3","try":2,"status":"running"}]}`
+	for _, c := range []struct {
+		name    string
+		status  int
+		body    string
+		outcome core.Outcome
+	}{
+		{"noted", 200, report, core.OK},
+		{"another session or a newer epoch", 409, report, core.Conflict},
+		{"no report", 200, `{}`, core.Unknown},
+		{"not JSON", 200, `<`, core.Unknown},
+		{"refused", 400, report, core.Unknown},
+		{"too large", 200, report + strings.Repeat(" ", 4*maxBody), core.Unknown},
+	} {
+		var sent string
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			data, _ := io.ReadAll(r.Body)
+			sent = r.Method + r.URL.Path + string(data)
+			w.WriteHeader(c.status)
+			io.WriteString(w, c.body)
+		}))
+		inbox := make(chan any, 1)
+		NewProber(inbox).Do(core.ProbeCall{Ref: 5, Address: srv.Listener.Addr().String(), Epoch: 7, Tenure: 2, Within: time.Second})
+		got := (<-inbox).(core.ProbeReply)
+		srv.Close()
+		if got.Ref != 5 || got.Outcome != c.outcome || got.Outcome != core.Unknown && (got.Report.Host != "host-1" || len(got.Report.Tasks) != 1) {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+		if want := `POST/do{"epoch":7,"tenure":2,"orders":[]}`; sent != want {
+			t.Errorf("%s: sent %s, want %s", c.name, sent, want)
+		}
+	}
+}
--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -51,9 +51,11 @@
 	switch {
 	case j.Host == "" || len(j.Host) > 128:
 		return r, "host"
-	case j.Flavor == "":
+	case len(j.Address) > 128:
+		return r, "address"
+	case j.Flavor == "" || len(j.Flavor) > maxName:
 		return r, "flavor"
-	case j.Hall == "":
+	case j.Hall == "" || len(j.Hall) > maxName:
 		return r, "hall"
 	case j.Tenure == nil || *j.Tenure == 0:
 		return r, "tenure"
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -23,8 +23,10 @@
 // groupEvery is how often a record of machines is written at the most.
 const groupEvery = 250 * time.Millisecond
 
+// recordedSize bounds the bytes of a machine in a record: what a worker says of
+// itself may be anything, and one bad name must not spoil the record of many.
 func recordedSize(m *machine) int {
-	return 90 + len(m.host) + len(m.address) + len(m.flavorName) + len(m.zone)
+	return 90 + len(m.host) + 6*(len(m.address)+len(m.flavorName)+len(m.zone))
 }
 
 // recordMachine has it written that the machine may hold tasks.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -153,7 +153,9 @@
 		return
 	}
 	m := c.machine(rep.Host, rep.Flavor, rep.Zone, rep.Reclaimable)
-	m.address = rep.Address
+	if m.record == unrecorded {
+		m.address = rep.Address // a machine keeps it
+	}
 	if m.probed && rep.Tenure == m.tenure && rep.Counter <= m.counter && c.leads() {
 		// Overtaken by its own answer to our probe: nothing new, but a worker
 		// that waits for its reply.
@@ -172,7 +174,7 @@
 	}
 	m.probed = false
 	c.learn(m, rep)
-	if m.record == unrecorded && c.leads() && !m.releasing {
+	if m.record == unrecorded && c.leads() && m.usable() {
 		c.recordMachine(m)
 	}
 	m.held = &heldReport{in.Ref}
--- /dev/null
+++ b/internal/core/plan_test.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"yewpass/internal/config"
+)
+
+// TestAims: a deadline counts again at the times that an objective names, and a
+// finishing objective is aimed at early, but not for idle jobs.
+func TestAims(t *testing.T) {
+	c := leaderOf(t, 1)
+	c.cfg.Settings.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1.5}, {Kind: "finished", Class: "c", Within: 200}}
+	j := newJob(c, 1, 1, rand.New(rand.NewPCG(1, 1)))
+	j.spec.Class, j.spec.Dated, j.spec.Due = "c", true, 100*time.Second
+	for _, x := range []struct {
+		urgency Urgency
+		want    []float64
+	}{{Standard, []float64{100, 150, 120, 200}}, {Idle, []float64{100, 150, 200}}} {
+		j.spec.Urgency = x.urgency
+		var got []float64
+		c.eachAim(j, time.Second, func(a aim) {
+			if !a.whole {
+				t.Error("takes all tasks")
+			}
+			got = append(got, a.by.Sub(j.submitted).Seconds())
+		})
+		if len(got) != len(x.want) {
+			t.Fatalf("%v: %v, want %v", x.urgency, got, x.want)
+		}
+		for i := range got {
+			if got[i] != x.want[i] {
+				t.Errorf("%v: %v, want %v", x.urgency, got, x.want)
+			}
+		}
+	}
+	j.spec.Urgency = Standard
+	if a, ok := c.aimFrom(j, t0, t0.Add(120*time.Second), time.Second); !ok || a.by != j.submitted.Add(150*time.Second) {
+		t.Errorf("after 120 s: %v", a.by.Sub(t0))
+	}
+}
+
+// TestLocalFirst: an urgent job leaves a machine alone that would have to fetch
+// its image while others have it, but not for ever, and not when few have it.
+func TestLocalFirst(t *testing.T) {
+	c := leaderOf(t, 12)
+	m := c.lead.fleet[0]
+	submit := func(id int) *job {
+		j := newJob(c, id, 2, rand.New(rand.NewPCG(1, 1)))
+		j.prompt = true
+		c.preferLocal(j)
+		c.book(j)
+		return j
+	}
+	submit(1)
+	if len(c.startOn(m)) == 0 {
+		t.Error("no machine has the image: it must be fetched somewhere")
+	}
+	for _, o := range c.lead.fleet[1:] {
+		for _, image := range []string{"img0", "img1", "img2", "img3", "img4", "img5"} {
+			c.hasImage(o, image)
+		}
+		c.fill(o) // no room for now
+	}
+	j := submit(2)
+	if os := c.startOn(m); len(os) != 0 {
+		t.Errorf("started %v where the image is not", os)
+	}
+	c.now = c.now.Add(localWait)
+	if c.startOn(m); j.waiting != 0 {
+		t.Errorf("%d tasks still wait", j.waiting)
+	}
+}
