Followers watch the leader's key from the store's revision, not the key's

Renewals of the grant were at risk for the rest of the term.

Change: the key is read by a list, whose answer tells the revision of the whole store; the watch goes on from there, and what is turned away waits before it tries again.

Ruled out: the leader's own requests, which were 18 a second.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -66,30 +66,32 @@
 	if c.lead != nil {
 		return
 	}
-	c.store(StoreCall{Op: StoreGet, Key: leaderKey}, func(r StoreReply) {
-		if c.lead != nil {
-			return
-		}
-		switch r.Outcome {
-		case OK:
+	// A list tells the revision of the whole store, from which the key is then
+	// followed. The key's own is as old as the term, and the service forgets what
+	// is 10,000 changes old: following from there would be turned away at once,
+	// again and again, by every node, until the service serves nobody else.
+	c.store(StoreCall{Op: StoreList, Key: leaderKey, Limit: 1}, func(r StoreReply) {
+		switch {
+		case c.lead != nil:
+		case r.Outcome != OK:
+			c.after(c.jitter(400*time.Millisecond), c.watch)
+		case len(r.Entries) == 0 || r.Entries[0].Key != leaderKey:
+			// A small random delay keeps the nodes from all standing at once.
+			c.after(c.jitter(40*time.Millisecond), c.stand)
+		default:
 			rec, _ := r.Entries[0].Value.(*LeaderRecord)
 			if rec == nil {
 				c.after(c.jitter(time.Second), c.watch)
 				return
 			}
 			c.heard(rec.Node, rec.Term)
-			c.store(StoreCall{Op: StoreFollow, Key: leaderKey, FromRev: r.Entries[0].Rev, Wait: 20 * time.Second, Within: 25 * time.Second}, func(r StoreReply) {
-				if r.Outcome == OK || r.Outcome == Missing {
+			c.store(StoreCall{Op: StoreFollow, Key: leaderKey, FromRev: r.Rev, Wait: 20 * time.Second, Within: 25 * time.Second}, func(r StoreReply) {
+				if r.Outcome == OK {
 					c.watch()
 				} else {
 					c.after(c.jitter(400*time.Millisecond), c.watch)
 				}
 			})
-		case Missing:
-			// A small random delay keeps the nodes from all standing at once.
-			c.after(c.jitter(40*time.Millisecond), c.stand)
-		default:
-			c.after(c.jitter(400*time.Millisecond), c.watch)
 		}
 	})
 }
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -62,7 +62,7 @@
 func newWorld() *world {
 	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, broken: map[string]bool{}}
 	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
-	w.store = &store{clock: w.clock, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, refilled: w.now}
+	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, refilled: w.now}
 	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
 	w.cloud.boots = func() (time.Duration, bool) { return time.Duration(60 + w.rng.IntN(90)), true }
 	s := &w.cfg.Settings
@@ -131,6 +131,7 @@
 			Lease: config.Seconds(dur(a, "lease", 20*time.Second).Seconds()), Cancel: config.Seconds(dur(a, "cancel", 40*time.Second).Seconds())}
 	case "state":
 		cs.State = config.State{RPS: num(a, "rps", 250), WriteRPS: num(a, "write_rps", 100), ValueKB: num(a, "value_kb", 16), TxnOps: int(num(a, "txn_ops", 48))}
+		s.store.keeps = uint64(num(a, "keeps", 10000))
 	case "cloud":
 		cs.Cloud = config.Cloud{RPS: num(a, "rps", 6), ListLag: 3}
 	case "team":
@@ -273,6 +274,8 @@
 		return compare(n, e[1])
 	case "started":
 		return compare(s.started, e[1])
+	case "requests": // to the state service
+		return compare(s.store.requests, e[1])
 	case "leaders":
 		n := 0
 		for _, x := range s.nodes {
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -19,6 +19,8 @@
 	grants map[uint64]*storedGrant
 	next   uint64
 	follow []*follower
+	log    []logged             // the latest changes
+	keeps  uint64               // how many revisions back one can follow from
 	down   time.Time            // an outage lasts until then
 	denied map[string]time.Time // nodes that get 503 until then
 
@@ -49,6 +51,11 @@
 	answer func(int, []byte)
 }
 
+type logged struct {
+	key string
+	rev uint64
+}
+
 type object = map[string]any
 
 func encode(v any) []byte {
@@ -89,6 +96,7 @@
 		if s.keys[k].grant == id {
 			s.rev++
 			delete(s.keys, k)
+			s.note(k)
 		}
 	}
 	s.notify()
@@ -105,8 +113,25 @@
 	return ks
 }
 
-// notify answers the followers; any change wakes all, which is allowed since
-// they read the keys again.
+// note logs a change; what is too old is forgotten.
+func (s *store) note(key string) {
+	s.log = append(s.log, logged{key, s.rev})
+	if n := len(s.log) - 2*int(s.keeps); n > 0 {
+		s.log = append(s.log[:0], s.log[n+int(s.keeps):]...)
+	}
+}
+
+// changed reports whether a key with the prefix has changed after a revision.
+func (s *store) changed(prefix string, from uint64) bool {
+	for i := len(s.log) - 1; i >= 0 && s.log[i].rev > from; i-- {
+		if strings.HasPrefix(s.log[i].key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// notify answers the followers of what has changed.
 func (s *store) notify() {
 	if s.now.Before(s.down) {
 		return
@@ -114,7 +139,7 @@
 	fs := s.follow
 	s.follow = nil
 	for _, f := range fs {
-		if s.rev > f.from {
+		if s.changed(f.prefix, f.from) {
 			f.answer(200, encode(object{"storeRev": s.rev, "log": []any{}}))
 		} else {
 			s.follow = append(s.follow, f)
@@ -203,7 +228,15 @@
 	case u.Path == "/follow":
 		from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
 		block, _ := strconv.Atoi(q.Get("blockMs"))
+		if from+s.keeps < s.rev {
+			answer(410, encode(object{"storeRev": s.rev}))
+			return
+		}
 		f := &follower{q.Get("under"), from, answer}
+		if s.changed(f.prefix, f.from) {
+			answer(200, encode(object{"storeRev": s.rev, "log": []any{}}))
+			return
+		}
 		s.follow = append(s.follow, f)
 		s.after(time.Duration(block)*time.Millisecond, func() {
 			for i, x := range s.follow {
@@ -296,6 +329,7 @@
 	}
 	for _, w := range t.Then {
 		s.puts++
+		s.note(w.Drop + w.Write)
 		if w.Drop != "" {
 			delete(s.keys, w.Drop)
 		} else {
