Users' calls wait behind reports and the state service; too many are sent away

Cause: all inputs of a node stood in one line. When the node falls behind, a report that keeps a lease or the answer that renews the grant waited behind submissions and polls, and those only timed out after 4.5 s.

Change: users' calls, own and forwarded, are taken when nothing else is there, or after eight other inputs; of those that wait, more than 256 are answered 503 at once, to come back after 2 s.

--- /dev/null
+++ b/internal/node/later_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"testing"
+
+	"yewpass/internal/api"
+	"yewpass/internal/core"
+)
+
+// TestLater: users' calls wait behind other inputs, in order, not for ever, and
+// not without bound.
+func TestLater(t *testing.T) {
+	for in, want := range map[any]bool{
+		api.Call{Input: core.ReportIn{}.Ref}:                  false,
+		core.PeerIn{Msg: core.PeerMsg{Kind: core.PeerCall}}:   true,
+		core.PeerIn{Msg: core.PeerMsg{Kind: core.PeerAck}}:    false,
+		core.PeerIn{Msg: core.PeerMsg{Kind: core.PeerAnswer}}: false,
+		core.Tick{}: false,
+	} {
+		if userCall(in) != want {
+			t.Errorf("%T %v: not %v", in, in, want)
+		}
+	}
+	if !userCall(api.Call{Input: core.UserCall{Op: core.OpGet}}) {
+		t.Error("a poll is no user's call")
+	}
+	var l later
+	if l.due(true) != nil {
+		t.Error("due before anything waits")
+	}
+	for i := range laterMost {
+		if !l.add(i) {
+			t.Fatal("turned away at", i)
+		}
+	}
+	if l.add(laterMost) {
+		t.Error("no bound")
+	}
+	if got := l.due(true); got != 0 {
+		t.Error("first", got)
+	}
+	for i := range laterEvery {
+		if got := l.due(false); got != nil {
+			t.Errorf("%v goes before input %d", got, i)
+		}
+	}
+	if got := l.due(false); got != 1 {
+		t.Error("starved:", got)
+	}
+	if !l.add(0) {
+		t.Error("room that came free is not used")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,18 +94,27 @@
 	ready   *atomic.Bool
 	gauges  *gauges
 	shown   time.Time // when the gauges were last set
+	later   later
 }
 
 func (n *node) loop(inbox <-chan any, failed <-chan error) error {
 	timer := time.NewTimer(0)
 	for {
-		var in any
-		select {
-		case in = <-inbox:
-		case <-timer.C:
-			in = core.Tick{}
-		case err := <-failed:
-			return err
+		in := n.later.due(len(inbox) == 0)
+		if in == nil {
+			select {
+			case in = <-inbox:
+			case <-timer.C:
+				in = core.Tick{}
+			case err := <-failed:
+				return err
+			}
+			if userCall(in) {
+				if !n.later.add(in) {
+					n.sendAway(in)
+				}
+				continue
+			}
 		}
 		switch x := in.(type) {
 		case api.Call:
@@ -129,6 +138,18 @@
 	}
 }
 
+// sendAway tells a user at once to come back: more calls wait than can be taken
+// in time.
+func (n *node) sendAway(in any) {
+	busy := core.AnswerUser{Status: 503, RetryAfter: 2 * time.Second, Reason: "the service is behind"}
+	switch x := in.(type) {
+	case api.Call:
+		x.Reply <- busy // has room for its one answer
+	case core.PeerIn:
+		n.mesh.Send(core.PeerSend{To: x.From, Msg: core.PeerMsg{Kind: core.PeerAnswer, Ref: x.Msg.Ref, Answer: &busy}})
+	}
+}
+
 // admit gives a request its number.
 func (n *node) admit(c api.Call) any {
 	n.ref++
