A record of machines that was refused is written again

Cause: found on a last read: a change of such a record that came back refused or unknown was dropped when it was its turn again, as one that had gone along with another. Its machines then never held tasks until some other machine of the same record came up or went.

Change: what has been sent goes again, with what the record says by then. A scenario, in which the only machine reports during a short outage, fails without the change: no task is ever started.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -66,12 +66,14 @@
 	g.queued, g.bulk = true, bulk
 	c.whenLeading(max(0, g.flushed.Add(groupEvery).Sub(c.now)), func() {
 		var news []*machine
+		sent := false
 		ch := &change{bulk: bulk, writes: []Write{{Key: g.key}}, size: int(c.cfg.Settings.State.ValueKB * 1024)}
 		ch.fill = func() bool {
-			if !g.queued {
+			if !g.queued && !sent {
 				return false // went along with a more pressing one
 			}
-			g.queued, g.flushed = false, c.now
+			// What has been sent may not have been executed: it goes again.
+			g.queued, g.flushed, sent = false, c.now, true
 			news = nil
 			ch.size = g.size
 			rec := &MachineRecord{}
