One piece of code where there were two: replies, round trips, what could start

Replies to the three kinds of calls are settled by one function; the stand-ins' round trip serves probes as well; the question whether a job could start now stands in one place, and a look at the held replies asks it only for machines that have one. The place of a machine in the fleet is found beside the fleet.

How many CPUs have an image is summed up when an urgent job comes instead of being kept: the kept sum missed machines that reported after a take-over before their type was known, and fell below nothing when they went.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,20 +132,11 @@
 		c.reportGone(in.Ref)
 	case StoreReply:
 		c.noteState(in.Outcome)
-		if f := c.stores[in.Ref]; f != nil {
-			delete(c.stores, in.Ref)
-			f(in)
-		}
+		settle(c.stores, in.Ref, in)
 	case CloudReply:
-		if f := c.clouds[in.Ref]; f != nil {
-			delete(c.clouds, in.Ref)
-			f(in)
-		}
+		settle(c.clouds, in.Ref, in)
 	case ProbeReply:
-		if f := c.probes[in.Ref]; f != nil {
-			delete(c.probes, in.Ref)
-			f(in)
-		}
+		settle(c.probes, in.Ref, in)
 	case PeerIn:
 		c.peerIn(in)
 	case PeerLink:
@@ -157,6 +148,14 @@
 	return c.out
 }
 
+// settle hands a reply to whoever waits for it.
+func settle[R any](waiting map[uint64]func(R), ref uint64, r R) {
+	if f := waiting[ref]; f != nil {
+		delete(waiting, ref)
+		f(r)
+	}
+}
+
 // Wake returns when the core next wants a Tick.
 func (c *Core) Wake() time.Time {
 	at := c.now.Add(time.Second)
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -117,8 +116,3 @@
 	}
 	l.groups = append(l.groups, g)
 }
-
-// place returns where the machine named host is in the fleet, or would be.
-func (l *leadership) place(host string) int {
-	return sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].host >= host })
-}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -38,7 +38,6 @@
 	rent        renting
 	grouped     uint64              // records of machines begun in this term
 	groups      []*group            // the records of the machines
-	imageCPUs   map[string]int64    // CPUs of the machines that have an image
 	holding     map[uint64]*machine // by the number of the held report
 	poked       []*machine          // see poke
 	unplaced    []*job              // see bookSoon
@@ -174,7 +173,7 @@
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
 		teams: map[string]*team{}, est: estimates{}, machines: map[string]*machine{},
-		gone: map[string]bool{}, owed: map[string]bool{}, holding: map[uint64]*machine{}, imageCPUs: map[string]int64{},
+		gone: map[string]bool{}, owed: map[string]bool{}, holding: map[uint64]*machine{},
 		pipe: pipeline{
 			writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.9), max(st.TxnOps, int(st.WriteRPS*0.8))),
 			reqs:   rate.NewLimiter(rate.Limit(st.RPS*0.6), max(1, int(st.RPS*0.5))),
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"slices"
+	"sort"
 	"time"
 
 	"yewpass/internal/timeline"
@@ -96,6 +97,11 @@
 	return m
 }
 
+// place returns where the machine named host is in the fleet, or would be.
+func (l *leadership) place(host string) int {
+	return sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].host >= host })
+}
+
 func (c *Core) setFlavor(m *machine) {
 	if f := c.lead.rent.flavor(m.flavorName); f != nil && m.flavor == nil {
 		m.flavor = f
@@ -394,7 +400,7 @@
 		if t.Phase == TaskRuns && r.phase != TaskRuns {
 			r.began = c.now
 			if j != nil {
-				c.hasImage(m, j.spec.Image)
+				m.images[j.spec.Image] = true
 				if r.slot != nil {
 					r.slot.End = c.now.Add(c.length(j, m))
 					m.tl.Touch()
@@ -556,12 +562,13 @@
 	l.dirty = false
 	l.dispatchAt = c.now.Add(dispatchEvery)
 	for _, m := range l.fleet {
-		if !slices.ContainsFunc(l.queue, func(j *job) bool { return c.mayStart(j) && j.team.room(j.need, 1) > 0 }) {
-			break
+		if m.held == nil || m.room().CPU <= 0 {
+			continue
 		}
-		if m.held != nil && m.room().CPU > 0 {
-			c.replyIfAny(m)
+		if !slices.ContainsFunc(l.queue, c.couldStart) {
+			break
 		}
+		c.replyIfAny(m)
 	}
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -213,7 +213,7 @@
 	return m.tl.Earliest(from, length, j.need)
 }
 
-// offer is the slot that a machine offers for a task of a job.
+// slotOffer is the slot that a machine offers for a task of a job.
 type slotOffer struct {
 	m      *machine
 	start  time.Time
@@ -461,6 +461,9 @@
 	return !j.halted() && !c.now.Before(j.retryAt) && (l.settled() || !j.earlier && !j.team.limited())
 }
 
+// couldStart reports whether a task of the job may start now wherever it fits.
+func (c *Core) couldStart(j *job) bool { return c.mayStart(j) && j.team.room(j.need, 1) > 0 }
+
 // startOn starts booked tasks on the machine in timeline order while they fit,
 // ahead of their time if need be, wherever they were booked: a machine with
 // free room takes what waits for a busy one.
@@ -574,23 +577,23 @@
 // preferLocal has a new job wait for machines that have its image, if there
 // are enough of them.
 func (c *Core) preferLocal(j *job) {
+	if !j.prompt {
+		return
+	}
 	l := c.lead
-	have := l.imageCPUs[j.spec.Image]
-	if !j.prompt || have < 4*int64(j.spec.Tasks)*j.need.CPU {
+	have := int64(0)
+	for _, m := range l.fleet {
+		if m.images[j.spec.Image] {
+			have += m.tl.Capacity().CPU
+		}
+	}
+	if have < 4*int64(j.spec.Tasks)*j.need.CPU {
 		return
 	}
 	j.localTill = c.now.Add(localWait)
 	c.whenLeading(localWait, func() { l.dirty = true })
 }
 
-// hasImage takes note that the machine has an image.
-func (c *Core) hasImage(m *machine, image string) {
-	if !m.images[image] {
-		m.images[image] = true
-		c.lead.imageCPUs[image] += m.tl.Capacity().CPU
-	}
-}
-
 // bookedFor reports whether tasks of the job are booked on the machine.
 func (m *machine) bookedFor(j *job) bool {
 	return slices.ContainsFunc(m.books, func(b *booking) bool { return b.job == j })
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -193,9 +193,6 @@
 	if m.held != nil {
 		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
 	}
-	for image := range m.images {
-		l.imageCPUs[image] -= m.tl.Capacity().CPU
-	}
 	delete(l.machines, host)
 	if i := l.place(host); i < len(l.fleet) && l.fleet[i] == m {
 		l.fleet = slices.Delete(l.fleet, i, i+1)
@@ -328,7 +325,7 @@
 // wanted reports whether waiting tasks could use the machine.
 func (c *Core) wanted(m *machine) bool {
 	return slices.ContainsFunc(c.lead.queue, func(j *job) bool {
-		return m.eligible(j) && c.mayStart(j) && j.team.room(j.need, 1) > 0
+		return m.eligible(j) && c.couldStart(j)
 	})
 }
 
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -109,7 +109,7 @@
 		}{{fast, rng}, {plain, twin}} {
 			for _, m := range x.c.lead.fleet {
 				if x.r.IntN(2) == 0 {
-					x.c.hasImage(m, fmt.Sprint("img", x.r.IntN(6)))
+					m.images[fmt.Sprint("img", x.r.IntN(6))] = true
 				}
 				if x.r.IntN(3) == 0 {
 					m.reported, m.readyAt = false, t0.Add(time.Duration(x.r.IntN(40))*time.Second)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -248,24 +248,32 @@
 	}
 }
 
-// exchange has an outside service serve a request and gives the core its reply,
-// or that of status 0 when none has come within the time given.
-func (n *node) exchange(host string, within time.Duration, serve func(answer func(int, []byte)), reply func(status int, data []byte) any) {
+// roundTrip has a host serve a request and gives the core the input that answers
+// it, or none when that has not come within the time given.
+func (n *node) roundTrip(host string, within time.Duration, serve func(answer func(in any)), none any) {
 	// A reply to an earlier life of the node reaches nobody: its numbers would
 	// mean other calls to the next one.
 	over, life := false, n.life
-	deliver := func(status int, data []byte) func() {
+	deliver := func(in any) func() {
 		return func() {
 			if n.alive && n.life == life && !over {
 				over = true
-				n.input(reply(status, data))
+				n.input(in)
 			}
 		}
 	}
 	n.net.send(n.name, host, func() {
-		serve(func(status int, data []byte) { n.net.send(host, n.name, deliver(status, data)) })
+		serve(func(in any) { n.net.send(host, n.name, deliver(in)) })
 	})
-	n.after(within, deliver(0, nil))
+	n.after(within, deliver(none))
+}
+
+// exchange is roundTrip with an outside service, whose protocol has a status and
+// a body; no answer has status 0.
+func (n *node) exchange(host string, within time.Duration, serve func(answer func(int, []byte)), reply func(status int, data []byte) any) {
+	n.roundTrip(host, within, func(answer func(any)) {
+		serve(func(status int, data []byte) { answer(reply(status, data)) })
+	}, reply(0, nil))
 }
 
 func (n *node) do(o any) {
@@ -300,25 +308,15 @@
 			return r
 		})
 	case core.ProbeCall:
-		r, over, life := core.ProbeReply{Ref: o.Ref, Outcome: core.Unknown}, false, n.life
-		deliver := func() {
-			if n.alive && n.life == life && !over {
-				over = true
-				n.input(r)
-			}
-		}
 		host := strings.TrimSuffix(o.Address, workerPort)
-		n.net.send(n.name, host, func() {
-			m := n.workers[host]
-			if m == nil {
-				return
+		n.roundTrip(host, o.Within, func(answer func(any)) {
+			if m := n.workers[host]; m != nil {
+				m.do(func() {
+					outcome, rep := m.command(o.Epoch, o.Tenure)
+					answer(core.ProbeReply{Ref: o.Ref, Outcome: outcome, Report: rep})
+				})
 			}
-			m.do(func() {
-				outcome, rep := m.command(o.Epoch, o.Tenure)
-				n.net.send(host, n.name, func() { r.Outcome, r.Report = outcome, rep; deliver() })
-			})
-		})
-		n.after(o.Within, deliver)
+		}, core.ProbeReply{Ref: o.Ref, Outcome: core.Unknown})
 	case core.PeerSend:
 		for _, p := range n.nodes {
 			if p.name == o.To && n.links[p.name].up {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,7 +18,8 @@
 }
 
 // NewCaller returns a caller of the service at addr (empty: paths begin with an
-// address) that keeps at most idle connections (below 0: none) and reads at most most bytes of an answer.
+// address) that keeps at most idle connections (below 0: none) and reads at most
+// most bytes of an answer.
 func NewCaller(addr string, dial time.Duration, idle int, most int64) *Caller {
 	return &Caller{
 		base: "http://" + addr,
