--- a/cmd/yewpass/client.go
+++ b/cmd/yewpass/client.go
@@ -14,7 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"yewpass/internal/config"
-	"yewpass/internal/policy"
+	"yewpass/internal/operators"
 )
 
 // Exit codes of the client commands.
@@ -51,12 +51,13 @@
 }
 
 func checkCommand() *cobra.Command {
-	var settings, rules string
+	var settings, ops string
 	cmd := &cobra.Command{
-		Use: "check", Short: "Check a settings file and a policy file", Args: cobra.NoArgs,
+		Use: "check", Short: "Check a settings file and an operators' file", Args: cobra.NoArgs,
+		Example: "  yewpass check --config settings.toml --operators deploy/operators.toml",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if settings == "" && rules == "" {
-				return errors.New("check: give --config, --policy or both")
+			if settings == "" && ops == "" {
+				return errors.New("check: give --config, --operators or both")
 			}
 			if settings != "" {
 				if _, err := config.Load(settings); err != nil {
@@ -64,17 +65,17 @@
 				}
 				fmt.Fprintln(cmd.OutOrStdout(), settings+": ok")
 			}
-			if rules != "" {
-				if _, err := policy.Load(rules); err != nil {
+			if ops != "" {
+				if _, err := operators.Load(ops); err != nil {
 					return err
 				}
-				fmt.Fprintln(cmd.OutOrStdout(), rules+": ok")
+				fmt.Fprintln(cmd.OutOrStdout(), ops+": ok")
 			}
 			return nil
 		},
 	}
 	cmd.Flags().StringVar(&settings, "config", "", "settings file")
-	cmd.Flags().StringVar(&rules, "policy", "", "policy file")
+	cmd.Flags().StringVar(&ops, "operators", "", "operators' file")
 	return cmd
 }
 
--- a/cmd/yewpass/main.go
+++ b/cmd/yewpass/main.go
@@ -4,12 +4,14 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
+	"strings"
 
 	"github.com/spf13/cobra"
 
 	"yewpass/internal/config"
 	"yewpass/internal/node"
-	"yewpass/internal/policy"
+	"yewpass/internal/operators"
 )
 
 func main() {
@@ -20,11 +22,14 @@
 }
 
 func root() *cobra.Command {
-	var settings, rules string
+	var settings, ops string
 	cmd := &cobra.Command{
-		Use:           "yewpass",
-		Short:         "A scheduler for clusters of rented machines",
-		Long:          "yewpass --config FILE runs a controller node. The other commands check its files and talk to a running node.",
+		Use:   "yewpass",
+		Short: "A scheduler for clusters of rented machines",
+		Long:  "yewpass --config FILE runs a controller node. The other commands check its files and talk to a running node.",
+		Example: "  yewpass --config settings.toml --operators deploy/operators.toml\n" +
+			"  yewpass completion bash > /etc/bash_completion.d/yewpass",
+		Version:       version(),
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
@@ -33,25 +38,44 @@
 				return cmd.Help()
 			}
 			node.SetupLog()
-			cfg, pol, err := load(settings, rules)
+			cfg, err := config.Load(settings)
 			if err != nil {
 				return err
 			}
-			return node.Run(cfg, pol)
+			file, err := operators.Load(ops)
+			if err != nil {
+				return err
+			}
+			return node.Run(cfg, file)
 		},
 	}
-	cmd.CompletionOptions.DisableDefaultCmd = true
 	cmd.Flags().StringVar(&settings, "config", "", "settings file that the platform hands over")
-	cmd.Flags().StringVar(&rules, "policy", "", "operators' policy file; the embedded defaults otherwise")
+	cmd.Flags().StringVar(&ops, "operators", "", "operators' file, see deploy/operators.toml; the defaults otherwise")
 	cmd.AddCommand(checkCommand(), submitCommand(), statusCommand(), cancelCommand())
 	return cmd
 }
 
-func load(settings, rules string) (*config.Config, *policy.Policy, error) {
-	cfg, err := config.Load(settings)
-	if err != nil {
-		return nil, nil, err
+// version tells what this program was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	if v == "" || v == "(devel)" {
+		v = "development"
+	}
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			if !strings.Contains(v, s.Value[:min(12, len(s.Value))]) {
+				v += " " + s.Value
+			}
+		case "vcs.modified":
+			if s.Value == "true" {
+				v += " modified"
+			}
+		}
 	}
-	pol, err := policy.Load(rules)
-	return cfg, pol, err
+	return v + " " + info.GoVersion
 }
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/netutil"
 
 	"yewpass/internal/core"
+	"yewpass/internal/spec"
 )
 
 // Call is a request on its way to the core: a core.UserCall or core.ReportIn
@@ -163,16 +164,16 @@
 }
 
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var j jobJSON
+	var j spec.Submission
 	if !body(w, r, &j) {
 		return
 	}
-	spec, field, reason := j.spec()
-	if spec == nil {
+	job, field, reason := j.Job()
+	if job == nil {
 		fail(w, http.StatusBadRequest, field, field+": "+reason, 0)
 		return
 	}
-	s.user(w, r, core.UserCall{Op: core.OpSubmit, ID: spec.ID, Spec: spec})
+	s.user(w, r, core.UserCall{Op: core.OpSubmit, ID: job.ID, Spec: job})
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
@@ -184,7 +185,7 @@
 }
 
 func (s *Server) known(w http.ResponseWriter, r *http.Request, op core.UserOp, id string) {
-	if !validID(id) {
+	if !spec.ValidID(id) {
 		fail(w, http.StatusNotFound, "id", "no such job", 0)
 		return
 	}
--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -7,6 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"yewpass/internal/core"
+	"yewpass/internal/spec"
 )
 
 type reportJSON struct {
@@ -53,9 +54,9 @@
 		return r, "host"
 	case len(j.Address) > 128:
 		return r, "address"
-	case j.Flavor == "" || len(j.Flavor) > maxName:
+	case j.Flavor == "" || len(j.Flavor) > spec.MaxName:
 		return r, "flavor"
-	case j.Hall == "" || len(j.Hall) > maxName:
+	case j.Hall == "" || len(j.Hall) > spec.MaxName:
 		return r, "hall"
 	case j.Tenure == nil || *j.Tenure == 0:
 		return r, "tenure"
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"golang.org/x/time/rate"
 
+	"yewpass/internal/calendar"
 	"yewpass/internal/config"
 	"yewpass/internal/policy"
 )
@@ -44,6 +45,7 @@
 type Core struct {
 	cfg *config.Config
 	pol *policy.Policy
+	cal *calendar.Set
 	rng *rand.Rand
 	now time.Time
 	out []any
@@ -94,10 +96,10 @@
 }
 
 // New returns a controller that has not begun; give it a Tick to begin.
-func New(cfg *config.Config, pol *policy.Policy, seed uint64) *Core {
+func New(cfg *config.Config, pol *policy.Policy, cal *calendar.Set, seed uint64) *Core {
 	final, _ := lru.New[string, FinalRecord](4096) // errs only for a size below 1
 	c := &Core{
-		cfg: cfg, pol: pol, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		cfg: cfg, pol: pol, cal: cal, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){}, probes: map[uint64]func(ProbeReply){},
 		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, stateUp: true,
 		reads:  rate.NewLimiter(rate.Limit(cfg.Settings.State.RPS/2), max(1, int(cfg.Settings.State.RPS/2))),
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"yewpass/internal/calendar"
 	"yewpass/internal/config"
 	"yewpass/internal/policy"
 	"yewpass/internal/timeline"
@@ -28,7 +29,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	c := New(cfg, pol, 7)
+	c := New(cfg, pol, calendar.NewSet(nil), 7)
 	c.now = t0
 	c.begin(1, 1, 1, t0)
 	c.out = nil
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -9,54 +9,27 @@
 	"strings"
 	"time"
 
+	"yewpass/internal/spec"
 	"yewpass/internal/timeline"
 )
 
-// Urgency orders jobs for preemption; the larger one is more urgent.
-type Urgency int
+// The description of a job has a package of its own, because schedules and the
+// command line read it too.
+type (
+	JobSpec = spec.Job
+	Urgency = spec.Urgency
+)
 
 // The urgencies of the protocol.
 const (
-	Idle Urgency = iota
-	Standard
-	Urgent
-	Production
+	Idle       = spec.Idle
+	Standard   = spec.Standard
+	Urgent     = spec.Urgent
+	Production = spec.Production
 )
 
-// UrgencyNames are the urgencies as users write them, least urgent first.
-var UrgencyNames = [...]string{"idle", "standard", "urgent", "production"}
-
-func (u Urgency) String() string { return UrgencyNames[u] }
-
-// JobSpec is a job as its user submitted it.
-type JobSpec struct {
-	ID            string
-	Class, Owner  string
-	Service       bool
-	Urgency       Urgency
-	Tasks         int
-	CPUs          float64
-	GPUs          float64
-	MemGB         float64
-	Image         string
-	ImageGB       float64
-	Flavors       []string // nil: any
-	Zone          string   // empty: any
-	SamePlace     bool
-	Apart         bool
-	Reclaimable   bool
-	Runtime       time.Duration
-	SnapshotEvery time.Duration
-	Snapshot      time.Duration
-	Due           time.Duration // from the submission
-	Dated         bool
-}
-
-// Need is what a task of the job takes.
-func (s *JobSpec) Need() timeline.Resources { return timeline.Need(s.CPUs, s.GPUs, s.MemGB) }
-
 // MaxTasks is the protocol's limit on the tasks of a job.
-const MaxTasks = 100_000
+const MaxTasks = spec.MaxTasks
 
 // JobState is a job's state as users see it.
 type JobState string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,8 +19,8 @@
 	"yewpass/internal/cloud"
 	"yewpass/internal/config"
 	"yewpass/internal/core"
+	"yewpass/internal/operators"
 	"yewpass/internal/peer"
-	"yewpass/internal/policy"
 	"yewpass/internal/state"
 )
 
@@ -45,7 +45,7 @@
 }
 
 // Run runs a node until it fails.
-func Run(cfg *config.Config, pol *policy.Policy) error {
+func Run(cfg *config.Config, ops *operators.File) error {
 	limits(cfg)
 	clients, err := net.Listen("tcp", cfg.ClientListen)
 	if err != nil {
@@ -62,7 +62,7 @@
 	inbox := make(chan any, 1024)
 	var ready atomic.Bool
 	n := &node{
-		core:    core.New(cfg, pol, binary.LittleEndian.Uint64(seed[:])),
+		core:    core.New(cfg, ops.Policy, ops.Calendars, binary.LittleEndian.Uint64(seed[:])),
 		state:   state.New(cfg.External.State, inbox),
 		cloud:   cloud.New(cfg.External.Cloud, inbox),
 		prober:  api.NewProber(inbox),
--- /dev/null
+++ b/internal/operators/operators_test.go
@@ -0,0 +1,58 @@
+package operators
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	dir := t.TempDir()
+	ics := "BEGIN:VCALENDAR\r\nBEGIN:VEVENT\r\nSUMMARY:Fair\r\nDTSTART;VALUE=DATE:20270510\r\nEND:VEVENT\r\nEND:VCALENDAR\r\n"
+	if err := os.WriteFile(filepath.Join(dir, "x.ics"), []byte(ics), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse([]byte("[policy]\nmargin = \"0.5\"\n[calendars.bg]\ncountry = \"BG\"\nholidays = [2027-02-26]\nworked = [2027-02-27]\nweekend = [\"Sunday\", \"saturday\"]\nicalendar = [\"x.ics\"]\n[calendars.all]\nweekend = []\n"), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if names := f.Calendars.Names(); len(names) != 2 || names[1] != "bg" {
+		t.Error(names)
+	}
+	if f.Policy == nil {
+		t.Error("no policy")
+	}
+	for text, want := range map[string]string{
+		"[polcy]\n": "polcy", "[policy]\nmargn = \"1\"\n": "policy.margn", "[policy]\nmargin = 1.0\n": "policy.margin", "[policy]\nmargin = \"1 +\"\n": "policy.margin",
+		"[calendars.x]\ncountri = \"BG\"\n": "calendars.x.countri", "[calendars.x]\ncountry = \"XX\"\n": "calendars.x.country",
+		"[calendars.x]\nweekend = [\"caturday\"]\n": "calendars.x.weekend", "[calendars.x]\nicalendar = [\"none.ics\"]\n": "calendars.x.icalendar",
+		"[calendars.x]\nholidays = [\"Easter\"]\n": "holidays", "x = [": "line 1",
+	} {
+		_, err := Parse([]byte(text), dir)
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want one line that names %s", text, err, want)
+		}
+	}
+}
+
+// TestExample: the commented example says nothing, and says it right: with its
+// comment signs taken away it is a file that is taken.
+func TestExample(t *testing.T) {
+	path := filepath.Join("..", "..", "deploy", "operators.toml")
+	f, err := Load(path)
+	if err != nil || len(f.Calendars.Names()) > 0 {
+		t.Fatal(f, err)
+	}
+	data, _ := os.ReadFile(path)
+	var on []string
+	for line := range strings.Lines(string(data)) {
+		if s, ok := strings.CutPrefix(line, "#:"); ok {
+			on = append(on, s)
+		}
+	}
+	f, err = Parse([]byte(strings.Join(on, "")), ".")
+	if err != nil || len(f.Calendars.Names()) < 2 {
+		t.Error(f, err)
+	}
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -5,7 +5,7 @@
 import (
 	_ "embed"
 	"fmt"
-	"os"
+	"maps"
 	"slices"
 	"strings"
 
@@ -35,37 +35,27 @@
 	margin, warm, rent, ordinary, idle, silent, takeover, holdIdle, holdBusy *vm.Program
 }
 
-// Load returns the defaults, overridden by the file at path unless it is empty.
-func Load(path string) (*Policy, error) {
-	if path == "" {
-		return Parse(nil)
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
+// Parse returns the defaults, overridden by the settings in data.
+func Parse(data []byte) (*Policy, error) {
+	over := map[string]string{}
+	if err := toml.Unmarshal(data, &over); err != nil {
 		return nil, err
 	}
-	p, err := Parse(data)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return p, nil
+	return New(over)
 }
 
-// Parse returns the defaults, overridden by the settings in data.
-func Parse(data []byte) (*Policy, error) {
+// New returns the defaults, overridden by the expressions in over. The error
+// begins with the name of the expression that is wrong.
+func New(over map[string]string) (*Policy, error) {
 	text := map[string]string{}
 	if err := toml.Unmarshal(defaults, &text); err != nil {
 		return nil, err
 	}
-	over := map[string]string{}
-	if err := toml.Unmarshal(data, &over); err != nil {
-		return nil, err
-	}
-	for k, v := range over {
+	for _, k := range slices.Sorted(maps.Keys(over)) {
 		if _, ok := text[k]; !ok {
 			return nil, fmt.Errorf("%s: no such setting", k)
 		}
-		text[k] = v
+		text[k] = over[k]
 	}
 	p := &Policy{}
 	progs := map[string]**vm.Program{
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -11,6 +11,7 @@
 
 	"yewpass/internal/config"
 	"yewpass/internal/core"
+	"yewpass/internal/spec"
 )
 
 // Result is how a scenario went.
@@ -326,7 +327,7 @@
 		sp.Flavors = strings.Split(v, ",")
 	}
 	if v := a["urgency"]; v != "" {
-		sp.Urgency = core.Urgency(slices.Index(core.UrgencyNames[:], v))
+		sp.Urgency = core.Urgency(slices.Index(spec.UrgencyNames[:], v))
 	}
 	if _, ok := a["due"]; ok {
 		sp.Due, sp.Dated = dur(a, "due", 0), true
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"yewpass/internal/calendar"
 	"yewpass/internal/cloud"
 	"yewpass/internal/config"
 	"yewpass/internal/core"
@@ -25,6 +26,7 @@
 	order   []*userJob
 	cfg     config.Config
 	rules   []byte // policy
+	cals    map[string]calendar.Definition
 
 	reportEvery, lease, cancelWithin time.Duration
 
@@ -163,7 +165,7 @@
 			cfg.Seeds = append(cfg.Seeds, config.Seed{HostName: o.name, Endpoint: o.name})
 		}
 	}
-	n.core = core.New(&cfg, pol, n.rng.Uint64())
+	n.core = core.New(&cfg, pol, n.calendars(), n.rng.Uint64())
 	n.reply = map[uint64]func(any){}
 	n.links = map[string]*link{}
 	for _, o := range n.nodes {
@@ -174,6 +176,18 @@
 	n.checkLinks(n.life)
 }
 
+func (w *world) calendars() *calendar.Set {
+	set := map[string]*calendar.Calendar{}
+	for name, def := range w.cals {
+		c, err := calendar.New(def)
+		if err != nil {
+			panic(err)
+		}
+		set[name] = c
+	}
+	return calendar.NewSet(set)
+}
+
 func (n *node) crash(back time.Duration) {
 	if !n.alive {
 		return
