Schedules as durable records of the leader: occurrences become jobs in one transaction

Need: night jobs that never run twice and never go missing. Change: internal/schedule decides (overlap, catch-up, edits), internal/core keeps records whose cursor changes in one transaction with the occurrence's job, under the term and the record's own revision; a lane of the pipeline of its own, behind what users wait for; PUT/GET/DELETE /v2/schedules and what belongs to it, from any node.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -55,6 +55,7 @@
 	r.POST("/v2/runs", s.submit)
 	r.GET("/v2/runs/:id", s.get)
 	r.POST("/v2/runs/:id/cancel", s.cancel)
+	s.schedules(r)
 	r.POST("/hello", s.hello)
 	r.GET("/ready", s.isReady)
 	r.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -105,15 +106,24 @@
 	fail(w, http.StatusServiceUnavailable, "", "not ready", time.Second)
 }
 
-// body reads a request's body into v; false if an answer has been sent.
-func body(w http.ResponseWriter, r *http.Request, v any) bool {
+// raw reads a request's body; false if an answer has been sent.
+func raw(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
-	if err != nil {
+	switch {
+	case err != nil:
 		fail(w, http.StatusBadRequest, "", "the body cannot be read", 0)
-		return false
-	}
-	if len(data) > maxBody {
+	case len(data) > maxBody:
 		fail(w, http.StatusBadRequest, "", "the body is larger than 64 KiB", 0)
+	default:
+		return data, true
+	}
+	return nil, false
+}
+
+// body reads a request's body into v; false if an answer has been sent.
+func body(w http.ResponseWriter, r *http.Request, v any) bool {
+	data, ok := raw(w, r)
+	if !ok {
 		return false
 	}
 	if err := json.Unmarshal(data, v); err != nil {
@@ -156,6 +166,16 @@
 			fail(w, a.Status, a.Field, a.Reason, a.RetryAfter)
 			return
 		}
+		if a.ETag != "" {
+			w.Header().Set("ETag", a.ETag)
+		}
+		if a.Doc != nil {
+			write(w, a.Status, a.Doc)
+			return
+		}
+		if call.Schedule != nil {
+			call.ID = a.View.ID // the job that a request to run has made
+		}
 		write(w, a.Status, viewJSON{call.ID, a.View.State, a.View.Done, a.View.Running})
 	case <-t.C:
 		fail(w, http.StatusServiceUnavailable, "", "the service is behind", time.Second)
--- /dev/null
+++ b/internal/api/schedules.go
@@ -0,0 +1,125 @@
+package api
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"yewpass/internal/calendar"
+	"yewpass/internal/core"
+	"yewpass/internal/schedule"
+)
+
+// Bounds of what one answer lists.
+const (
+	defaultCount = 20
+	maxUpcoming  = 100
+	maxListed    = 200
+	maxRequest   = 200 // bytes of a request's name
+)
+
+// schedules serves recurring work, from any node.
+func (s *Server) schedules(r *httprouter.Router) {
+	const one = "/v2/schedules/:name"
+	r.GET("/v2/schedules", s.listSchedules)
+	r.PUT(one, s.putSchedule)
+	r.GET(one, s.schedule(core.OpScheduleGet, nil))
+	r.DELETE(one, s.schedule(core.OpScheduleDelete, ifMatch))
+	r.POST(one+"/pause", s.schedule(core.OpSchedulePause, ifMatch))
+	r.POST(one+"/resume", s.schedule(core.OpScheduleResume, ifMatch))
+	r.POST(one+"/run", s.schedule(core.OpScheduleRun, runRequest))
+	r.GET(one+"/upcoming", s.schedule(core.OpScheduleUpcoming, func(w http.ResponseWriter, r *http.Request, q *core.ScheduleCall) bool {
+		return count(w, r, "count", maxUpcoming, &q.Count)
+	}))
+	r.GET(one+"/history", s.schedule(core.OpScheduleHistory, nil))
+}
+
+// schedule serves an operation on one schedule; more reads what it needs besides
+// the name and is false if an answer has been sent.
+func (s *Server) schedule(op core.UserOp, more func(http.ResponseWriter, *http.Request, *core.ScheduleCall) bool) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		q := &core.ScheduleCall{Name: p.ByName("name")}
+		if !schedule.ValidName(q.Name) {
+			fail(w, http.StatusNotFound, "name", "no such schedule", 0)
+			return
+		}
+		if more == nil || more(w, r, q) {
+			s.user(w, r, core.UserCall{Op: op, Schedule: q})
+		}
+	}
+}
+
+func ifMatch(_ http.ResponseWriter, r *http.Request, q *core.ScheduleCall) bool {
+	if q.IfMatch = r.Header.Get("If-Match"); q.IfMatch == "*" {
+		q.IfMatch = ""
+	}
+	return true
+}
+
+// runRequest reads the caller's name for a request to run now, without which a
+// repetition could not be told from another request.
+func runRequest(w http.ResponseWriter, r *http.Request, q *core.ScheduleCall) bool {
+	var v struct {
+		Request string `json:"request"`
+	}
+	if !body(w, r, &v) {
+		return false
+	}
+	if v.Request == "" || len(v.Request) > maxRequest {
+		fail(w, http.StatusBadRequest, "request", "request: missing, empty or longer than "+strconv.Itoa(maxRequest)+" bytes", 0)
+		return false
+	}
+	q.Request = v.Request
+	return true
+}
+
+func count(w http.ResponseWriter, r *http.Request, name string, most int, n *int) bool {
+	*n = defaultCount
+	if text := r.URL.Query().Get(name); text != "" {
+		k, err := strconv.Atoi(text)
+		if err != nil || k < 1 || k > most {
+			fail(w, http.StatusBadRequest, name, name+": not a number from 1 to "+strconv.Itoa(most), 0)
+			return false
+		}
+		*n = k
+	}
+	return true
+}
+
+func (s *Server) listSchedules(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	q := &core.ScheduleCall{After: r.URL.Query().Get("after")}
+	if count(w, r, "limit", maxListed, &q.Count) {
+		s.user(w, r, core.UserCall{Op: core.OpScheduleList, Schedule: q})
+	}
+}
+
+func (s *Server) putSchedule(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	data, ok := raw(w, r)
+	if !ok {
+		return
+	}
+	f, err := schedule.ParseJSON(data)
+	if fe := (*calendar.FieldError)(nil); errors.As(err, &fe) {
+		reason := fe.Reason
+		if fe.Field != "" {
+			reason = fe.Error()
+		}
+		fail(w, http.StatusBadRequest, fe.Field, reason, 0)
+		return
+	}
+	q := &core.ScheduleCall{Name: p.ByName("name"), File: f}
+	if f.Name == "" {
+		f.Name = q.Name
+	}
+	if f.Name != q.Name || !schedule.ValidName(q.Name) {
+		fail(w, http.StatusBadRequest, "name", "name: not the one in the path, or not of lower-case letters, digits, dots, underscores and hyphens", 0)
+		return
+	}
+	ifMatch(w, r, q)
+	if r.Header.Get("If-None-Match") == "*" {
+		q.IfMatch = core.NewOnly
+	}
+	s.user(w, r, core.UserCall{Op: core.OpSchedulePut, Schedule: q})
+}
--- a/internal/calendar/timing.go
+++ b/internal/calendar/timing.go
@@ -221,9 +221,7 @@
 	o := Occurrence{Nominal: runs.Add(at)}
 	var exists bool
 	o.Start, exists = Instant(o.Nominal, t.zone)
-	if t.dueAt >= 0 {
-		o.Due = FirstAfter(o.Start, t.dueAt, t.zone)
-	}
+	o.Due = t.DueAfter(o.Start)
 	var remarks []string
 	if !runs.Equal(rules) {
 		_, why := t.calendar.Day(rules)
@@ -275,3 +273,11 @@
 		}
 	}
 }
+
+// DueAfter returns the deadline of a run that starts at t; zero if there is none.
+func (t *Timing) DueAfter(start time.Time) time.Time {
+	if t.dueAt < 0 {
+		return time.Time{}
+	}
+	return FirstAfter(start, t.dueAt, t.zone)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,7 +8,7 @@
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"yewpass/internal/tomltext"
 )
 
 // Seed is another controller.
@@ -111,28 +111,12 @@
 // Parse reads and checks settings.
 func Parse(data []byte) (*Config, error) {
 	var c Config
-	if err := toml.Unmarshal(data, &c); err != nil {
-		var de *toml.DecodeError
-		if errors.As(err, &de) {
-			row, col := de.Position()
-			return nil, fmt.Errorf("line %d column %d: %s: %s", row, col, joinKey(de.Key()), de.Error())
-		}
+	if err := tomltext.Decode(data, &c, false); err != nil {
 		return nil, err
 	}
 	return &c, c.check()
 }
 
-func joinKey(k toml.Key) string {
-	s := ""
-	for i, p := range k {
-		if i > 0 {
-			s += "."
-		}
-		s += p
-	}
-	return s
-}
-
 func (c *Config) check() error {
 	if c.HostName == "" {
 		return errors.New("host_name: missing")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,10 @@
 	machineKeys = liveKeys + "machine/"
 	doneKeys    = liveKeys + "progress/"
 	finalKeys   = rootKey + "final/"
+
+	// Schedules lie apart: a take-over does not wait for them.
+	scheduleKeys = rootKey + "schedule/"
+	numberKey    = rootKey + "schedules" // the numbers given to schedules
 )
 
 // Times of the leader's grant. The protocol bounds the drift of steady clocks
@@ -50,6 +54,8 @@
 	now time.Time
 	out []any
 
+	wander time.Duration
+
 	ref     uint64
 	stores  map[uint64]func(StoreReply)
 	clouds  map[uint64]func(CloudReply)
@@ -150,6 +156,14 @@
 	return c.out
 }
 
+// SetWander moves the time of day against the clock of Step's now, for drivers
+// whose times carry no separate steady reading. In a process now carries both,
+// and a time of day that is set back moves by itself.
+func (c *Core) SetWander(d time.Duration) { c.wander = d }
+
+// wall is the time of day. Schedules go by it, and by nothing else.
+func (c *Core) wall() time.Time { return c.now.Round(0).Add(c.wander) }
+
 // settle hands a reply to whoever waits for it.
 func settle[R any](waiting map[uint64]func(R), ref uint64, r R) {
 	if f := waiting[ref]; f != nil {
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -15,7 +15,7 @@
 	machines []*machine
 	size     int  // bytes, estimated
 	queued   bool // a change of it waits
-	bulk     bool // and is not urgent
+	lane     lane // how pressing
 	flushed  time.Time
 }
 
@@ -42,7 +42,7 @@
 	m.record, m.group = recording, g
 	g.machines = append(g.machines, m)
 	g.size += recordedSize(m)
-	c.writeGroup(g, false)
+	c.writeGroup(g, urgent)
 }
 
 // unrecord takes a machine that is gone out of its record.
@@ -54,19 +54,19 @@
 	m.record, m.group = unrecorded, nil
 	g.machines = slices.DeleteFunc(g.machines, func(x *machine) bool { return x == m })
 	g.size -= recordedSize(m)
-	c.writeGroup(g, true)
+	c.writeGroup(g, bulk)
 }
 
 // writeGroup writes a record of machines. What changes until then goes along.
-func (c *Core) writeGroup(g *group, bulk bool) {
-	if g.queued && (bulk || !g.bulk) {
+func (c *Core) writeGroup(g *group, ln lane) {
+	if g.queued && ln >= g.lane {
 		return
 	}
-	g.queued, g.bulk = true, bulk
+	g.queued, g.lane = true, ln
 	c.whenLeading(max(0, g.flushed.Add(groupEvery).Sub(c.now)), func() {
 		var news []*machine
 		sent := false
-		ch := &change{bulk: bulk, writes: []Write{{Key: g.key}}, size: int(c.cfg.Settings.State.ValueKB * 1024)}
+		ch := &change{lane: ln, writes: []Write{{Key: g.key}}, size: int(c.cfg.Settings.State.ValueKB * 1024)}
 		ch.fill = func() bool {
 			if !g.queued && !sent {
 				return false // went along with a more pressing one
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -45,10 +45,11 @@
 	books     []*booking      // places in the queue, in order
 	turn      time.Time       // of the first, while queued
 	queued    bool
-	unplaced  bool      // to be booked soon
-	localTill time.Time // until then it starts only where its image is
-	running   int       // tasks that workers report as running or saving
-	ended     []*run    // completed, and not known to be on record
+	unplaced  bool       // to be booked soon
+	localTill time.Time  // until then it starts only where its image is
+	running   int        // tasks that workers report as running or saving
+	ended     []*run     // completed, and not known to be on record
+	sched     *scheduled // whose occurrence it is, or nil
 }
 
 // addJob takes a job into memory.
@@ -169,7 +170,7 @@
 	key := chunkKey(j.spec.ID, chunk)
 	var had bitset
 	ch := &change{
-		bulk: true, size: 300 + 4*min(j.spec.Tasks, chunkTasks)/3/8,
+		lane: bulk, size: 300 + 4*min(j.spec.Tasks, chunkTasks)/3/8,
 		writes: []Write{{Key: key}},
 		done: func(rev uint64) {
 			j.chunkRev[chunk] = rev
@@ -252,7 +253,7 @@
 		if len(ch.writes) < c.cfg.Settings.State.TxnOps {
 			ch.writes = append(ch.writes, w)
 		} else {
-			drops = append(drops, &change{writes: []Write{w}, bulk: true})
+			drops = append(drops, &change{writes: []Write{w}, lane: bulk})
 		}
 	}
 	l.pipe.add(ch)
@@ -273,6 +274,9 @@
 	}
 	j.ended = nil
 	j.answerCancels(c, AnswerUser{Status: 200, View: f.view(j.spec.ID)})
+	if j.sched != nil {
+		c.occurrenceOver(j.sched, j.spec.ID, f.State, c.wall())
+	}
 	c.note(slog.LevelDebug, "job over", "job", j.spec.ID, "state", f.State)
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -24,6 +24,7 @@
 	waiting []ReportIn // reports that came while loading
 
 	pipe       pipeline
+	sched      schedules
 	jobs       map[string]*job
 	accept     map[string]*accepting
 	teams      map[string]*team
@@ -179,7 +180,8 @@
 			reqs:   rate.NewLimiter(rate.Limit(st.RPS*0.6), max(1, int(st.RPS*0.5))),
 			busy:   map[string]bool{},
 		},
-		rent: newRenting(c.cfg),
+		rent:  newRenting(c.cfg),
+		sched: newSchedules(),
 	}
 	for _, t := range c.cfg.Settings.Teams {
 		c.lead.teams[t.Name] = newTeam(t)
@@ -277,6 +279,7 @@
 	for _, j := range l.sortedJobs() {
 		j.answerCancels(c, a)
 	}
+	c.answerSchedules(l, a)
 }
 
 // load reads the records of the earlier terms, page by page.
@@ -312,7 +315,7 @@
 		j := l.jobs[id]
 		if j == nil {
 			// Left over by a job that is over.
-			l.pipe.add(&change{writes: []Write{{Key: e.Key}}, bulk: true})
+			l.pipe.add(&change{writes: []Write{{Key: e.Key}}, lane: bulk})
 			return
 		}
 		if chunk < 0 || chunk*chunkTasks >= j.spec.Tasks || !j.done.decodeChunk(chunk*chunkTasks, j.spec.Tasks, v.Ranges) {
@@ -339,12 +342,14 @@
 	}
 	c.listMachines("", nil)
 	c.probeAll()
+	c.loadSchedules("")
 	c.tickLead()
 }
 
 // tickLead does the leader's regular work twice a second.
 func (c *Core) tickLead() {
 	c.housekeep()
+	c.dueSchedules()
 	c.whenLeading(500*time.Millisecond, c.tickLead)
 }
 
@@ -411,7 +416,7 @@
 			l.ackedAt = c.now
 		}
 	case PeerCall:
-		c.userCall(UserCall{Ref: p.Msg.Ref, From: p.From, Op: p.Msg.Op, ID: p.Msg.ID, Spec: p.Msg.Spec})
+		c.userCall(UserCall{Ref: p.Msg.Ref, From: p.From, Op: p.Msg.Op, ID: p.Msg.ID, Spec: p.Msg.Spec, Schedule: p.Msg.Schedule})
 	case PeerAnswer:
 		c.peerAnswer(p.From, p.Msg)
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -364,6 +364,9 @@
 	r.counted = runs
 	if runs {
 		r.job.running++
+		if r.job.sched != nil {
+			c.occurrenceStarted(r.job)
+		}
 	} else {
 		r.job.running--
 	}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -8,12 +8,22 @@
 	"golang.org/x/time/rate"
 )
 
+// lane says how pressing a change is.
+type lane int
+
+const (
+	urgent lane = iota // users or machines wait for it
+	due                // occurrences of schedules, by deadline
+	bulk               // progress and other news that can wait
+	lanes
+)
+
 // change is a set of writes that go together, with the conditions of its own.
 type change struct {
 	when   []Cond
 	writes []Write
 	size   int // estimated bytes
-	bulk   bool
+	lane   lane
 	fill   func() bool // called when it is about to go, to set what it writes; false: nothing any more
 	done   func(rev uint64)
 	failed func() // a condition of its own did not hold
@@ -22,13 +32,14 @@
 }
 
 // pipeline batches changes into transactions within the state service's limits.
-// Bulk changes (progress) only go when no other waits, so that an acceptance is
-// never delayed behind them. Changes of the same key never overlap.
+// The other lanes only go when nothing urgent waits and half of the allowance is
+// left, so that an acceptance is never delayed behind them; they take turns.
+// Changes of the same key never overlap.
 type pipeline struct {
 	writes, reqs *rate.Limiter
-	urgent, bulk []*change
-	flying       int
-	flyingBulk   int
+	waits        [lanes][]*change
+	flying       [lanes]int
+	bulkNext     bool
 	busy         map[string]bool // keys of transactions on their way
 	pause        time.Time
 	backoff      time.Duration
@@ -40,11 +51,7 @@
 	if ch.size == 0 {
 		ch.size = 120 * (len(ch.writes) + len(ch.when))
 	}
-	if ch.bulk {
-		p.bulk = append(p.bulk, ch)
-	} else {
-		p.urgent = append(p.urgent, ch)
-	}
+	p.waits[ch.lane] = append(p.waits[ch.lane], ch)
 }
 
 // txnBytes keeps a transaction below the protocol's 64 KiB.
@@ -87,28 +94,49 @@
 	if !c.acts() || c.now.Before(p.pause) {
 		return
 	}
-	for len(p.urgent) > 0 && p.flying < 3 {
-		if !c.sendBatch(&p.urgent, false) {
+	for len(p.waits[urgent]) > 0 && p.flying[urgent] < 3 {
+		if !c.sendBatch(urgent) {
 			return
 		}
 	}
-	// Progress leaves room in the allowance for what users wait for.
-	if len(p.bulk) > 0 && len(p.urgent) == 0 && p.flyingBulk == 0 && p.writes.TokensAt(c.now) >= float64(p.writes.Burst())/2 {
-		c.sendBatch(&p.bulk, true)
+	// The others leave room in the allowance for what users wait for.
+	for range 2 {
+		if len(p.waits[urgent]) > 0 || p.writes.TokensAt(c.now) < float64(p.writes.Burst())/2 {
+			break
+		}
+		p.bulkNext = !p.bulkNext
+		if p.bulkNext && len(p.waits[bulk]) > 0 && p.flying[bulk] == 0 {
+			c.sendBatch(bulk)
+		} else if !p.bulkNext && p.flying[due] < 2 {
+			c.makeOccurrences()
+			if len(p.waits[due]) > 0 {
+				c.sendBatch(due)
+			}
+		}
+	}
+	// What waits for the allowance is seen to when it has come back.
+	if p.flying[due] == 0 && c.occurrencesWait() {
+		c.nudge()
 	}
 }
 
-func (c *Core) sendBatch(list *[]*change, bulk bool) bool {
+// nudge has the pump run again soon.
+func (c *Core) nudge() {
+	p := &c.lead.pipe
+	if !p.nudged {
+		p.nudged = true
+		c.whenLeading(20*time.Millisecond, func() { p.nudged = false })
+	}
+}
+
+func (c *Core) sendBatch(ln lane) bool {
 	p := &c.lead.pipe
 	if p.reqs.TokensAt(c.now) < 1 || p.writes.TokensAt(c.now) < 1 {
-		if !p.nudged {
-			p.nudged = true
-			c.whenLeading(20*time.Millisecond, func() { p.nudged = false })
-		}
+		c.nudge()
 		return false
 	}
 	ops := min(c.cfg.Settings.State.TxnOps, max(1, int(p.writes.TokensAt(c.now))))
-	batch := p.take(list, ops)
+	batch := p.take(&p.waits[ln], ops)
 	if len(batch) == 0 {
 		return false
 	}
@@ -122,17 +150,9 @@
 	for _, w := range call.Then {
 		p.busy[w.Key] = true
 	}
-	if bulk {
-		p.flyingBulk++
-	} else {
-		p.flying++
-	}
+	p.flying[ln]++
 	c.leaderStore(call, func(r StoreReply) {
-		if bulk {
-			p.flyingBulk--
-		} else {
-			p.flying--
-		}
+		p.flying[ln]--
 		for _, w := range call.Then {
 			delete(p.busy, w.Key)
 		}
@@ -145,11 +165,7 @@
 	p := &c.lead.pipe
 	again := func(chs []*change) {
 		for _, ch := range slices.Backward(chs) {
-			if ch.bulk {
-				p.bulk = slices.Insert(p.bulk, 0, ch)
-			} else {
-				p.urgent = slices.Insert(p.urgent, 0, ch)
-			}
+			p.waits[ch.lane] = slices.Insert(p.waits[ch.lane], 0, ch)
 		}
 	}
 	switch r.Outcome {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"yewpass/internal/schedule"
 	"yewpass/internal/spec"
 	"yewpass/internal/timeline"
 )
@@ -145,8 +146,28 @@
 	OpSubmit UserOp = "submit"
 	OpGet    UserOp = "get"
 	OpCancel UserOp = "cancel"
+
+	OpSchedulePut      UserOp = "schedule put"
+	OpScheduleGet      UserOp = "schedule get"
+	OpScheduleList     UserOp = "schedule list"
+	OpScheduleDelete   UserOp = "schedule delete"
+	OpSchedulePause    UserOp = "schedule pause"
+	OpScheduleResume   UserOp = "schedule resume"
+	OpScheduleRun      UserOp = "schedule run"
+	OpScheduleUpcoming UserOp = "schedule upcoming"
+	OpScheduleHistory  UserOp = "schedule history"
 )
 
+// ScheduleCall is what a user asks of a schedule, next to the operation.
+type ScheduleCall struct {
+	Name    string         `json:"name,omitempty"`
+	File    *schedule.File `json:"file,omitempty"`    // of put
+	IfMatch string         `json:"ifMatch,omitempty"` // the ETag it is based on; "" any, "new" none
+	After   string         `json:"after,omitempty"`   // of list: the name before
+	Count   int            `json:"count,omitempty"`   // of list and upcoming: how many at the most
+	Request string         `json:"request,omitempty"` // of run: the caller's name for it
+}
+
 // UserCall is a user's request, from this node's own socket or forwarded by a
 // peer.
 type UserCall struct {
@@ -155,6 +176,8 @@
 	Op   UserOp
 	ID   string
 	Spec *JobSpec
+
+	Schedule *ScheduleCall
 }
 
 // ReportIn is a worker's report waiting for its reply.
@@ -182,7 +205,7 @@
 // Entry is one key of the state service.
 type Entry struct {
 	Key   string
-	Value any // *JobRecord, *FinalRecord, *MachineRecord, *ProgressRecord, *LeaderRecord, *TermRecord, or nil when unreadable
+	Value any // *JobRecord, *FinalRecord, *MachineRecord, *ProgressRecord, *LeaderRecord, *TermRecord, *NumberRecord, *schedule.Record, or nil when unreadable
 	Rev   uint64
 }
 
@@ -239,6 +262,8 @@
 	ID     string
 	Spec   *JobSpec
 	Answer *AnswerUser
+
+	Schedule *ScheduleCall
 }
 
 // Tick lets the core act on the passing of time.
@@ -261,6 +286,8 @@
 	View       JobView
 	Field      string
 	Reason     string
+	Doc        any    // a document in JSON instead of the view
+	ETag       string // of the document
 }
 
 // AnswerReport answers a ReportIn.
@@ -407,6 +434,11 @@
 	Term uint64
 }
 
+// NumberRecord says up to which number schedules may have been numbered.
+type NumberRecord struct {
+	Number uint64
+}
+
 // TermRecord counts the terms; a term is the workers' epoch.
 type TermRecord struct {
 	Term uint64
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -66,7 +66,7 @@
 func (c *Core) forward(call UserCall) {
 	ref := c.nextRef()
 	c.calls[ref] = &forwarded{call, c.hint}
-	c.emit(PeerSend{c.hint, PeerMsg{Kind: PeerCall, Ref: ref, Op: call.Op, ID: call.ID, Spec: call.Spec}})
+	c.emit(PeerSend{c.hint, PeerMsg{Kind: PeerCall, Ref: ref, Op: call.Op, ID: call.ID, Spec: call.Spec, Schedule: call.Schedule}})
 	wait := 2500 * time.Millisecond
 	if call.Op == OpGet {
 		wait = 800 * time.Millisecond // a poll is given up after 2 s
@@ -173,6 +173,10 @@
 // serve answers as the leader.
 func (c *Core) serve(call UserCall) {
 	l := c.lead
+	if call.Schedule != nil {
+		c.serveSchedule(call)
+		return
+	}
 	if j := l.jobs[call.ID]; j != nil {
 		if call.Op == OpCancel {
 			c.cancel(j, call)
@@ -278,10 +282,7 @@
 		writes: []Write{{Key: jobKeys + s.ID, Value: rec}},
 		done: func(uint64) {
 			delete(l.accept, s.ID)
-			j := c.addJob(rec, false)
-			c.arrived(j)
-			c.preferLocal(j)
-			c.jobLoaded(j)
+			j := c.newJob(rec)
 			a.answerAll(c, AnswerUser{Status: 201, View: j.view()})
 		},
 		failed: func() { c.acceptConflict(a) },
@@ -292,6 +293,15 @@
 	})
 }
 
+// newJob takes on a job whose record has just been committed.
+func (c *Core) newJob(rec *JobRecord) *job {
+	j := c.addJob(rec, false)
+	c.arrived(j)
+	c.preferLocal(j)
+	c.jobLoaded(j)
+	return j
+}
+
 // acceptConflict: the job has a record already, maybe from a try of ours whose
 // outcome was not known.
 func (c *Core) acceptConflict(a *accepting) {
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -3,7 +3,6 @@
 package operators
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -16,6 +15,7 @@
 
 	"yewpass/internal/calendar"
 	"yewpass/internal/policy"
+	"yewpass/internal/tomltext"
 )
 
 // File is a checked operators' file.
@@ -59,9 +59,8 @@
 // from dir.
 func Parse(data []byte, dir string) (*File, error) {
 	var s sections
-	d := toml.NewDecoder(strings.NewReader(string(data)))
-	if err := d.DisallowUnknownFields().Decode(&s); err != nil {
-		return nil, Explain(err)
+	if err := tomltext.Decode(data, &s, true); err != nil {
+		return nil, err
 	}
 	over := map[string]string{}
 	for _, k := range slices.Sorted(maps.Keys(s.Policy)) {
@@ -89,31 +88,6 @@
 	return &File{pol, calendar.NewSet(cals)}, nil
 }
 
-// Explain turns an error of the TOML library into one line that names the line
-// and the field.
-func Explain(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		e := strict.Errors[0]
-		row, _ := e.Position()
-		what := "no such field"
-		if len(e.Key()) == 1 {
-			what = "no such section or field"
-		}
-		return fmt.Errorf("line %d: %s: %s", row, strings.Join(e.Key(), "."), what)
-	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		row, col := de.Position()
-		reason := strings.TrimPrefix(de.Error(), "toml: ")
-		if key := strings.Join(de.Key(), "."); key != "" {
-			return fmt.Errorf("line %d column %d: %s: %s", row, col, key, reason)
-		}
-		return fmt.Errorf("line %d column %d: %s", row, col, reason)
-	}
-	return err
-}
-
 func (x *calendarTOML) definition(dir string) (calendar.Definition, error) {
 	def := calendar.Definition{Country: x.Country, Holidays: dates(x.Holidays), Worked: dates(x.Worked)}
 	if x.Weekend != nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,6 +25,8 @@
 	ID     string            `json:"id,omitempty"`
 	Spec   *state.SpecRecord `json:"spec,omitempty"`
 	Answer *answerJSON       `json:"answer,omitempty"`
+
+	Schedule *core.ScheduleCall `json:"schedule,omitempty"`
 }
 
 type answerJSON struct {
@@ -35,6 +37,10 @@
 	Running int           `json:"running,omitempty"`
 	Field   string        `json:"field,omitempty"`
 	Reason  string        `json:"reason,omitempty"`
+
+	ViewID string          `json:"viewId,omitempty"`
+	Doc    json.RawMessage `json:"doc,omitempty"`
+	ETag   string          `json:"etag,omitempty"`
 }
 
 const (
@@ -72,13 +78,16 @@
 	if ch == nil {
 		return
 	}
-	j := messageJSON{From: m.self, Kind: p.Msg.Kind, Term: p.Msg.Term, Ref: p.Msg.Ref, Op: p.Msg.Op, ID: p.Msg.ID}
+	j := messageJSON{From: m.self, Kind: p.Msg.Kind, Term: p.Msg.Term, Ref: p.Msg.Ref, Op: p.Msg.Op, ID: p.Msg.ID, Schedule: p.Msg.Schedule}
 	if p.Msg.Spec != nil {
 		s := state.EncodeSpec(p.Msg.Spec)
 		j.Spec = &s
 	}
 	if a := p.Msg.Answer; a != nil {
-		j.Answer = &answerJSON{a.Status, a.RetryAfter.Milliseconds(), a.View.State, a.View.Done, a.View.Running, a.Field, a.Reason}
+		j.Answer = &answerJSON{a.Status, a.RetryAfter.Milliseconds(), a.View.State, a.View.Done, a.View.Running, a.Field, a.Reason, a.View.ID, nil, a.ETag}
+		if a.Doc != nil {
+			j.Answer.Doc, _ = json.Marshal(a.Doc) // plain structs of ours: cannot fail
+		}
 	}
 	select {
 	case ch <- j:
@@ -194,7 +203,7 @@
 			}
 			continue
 		}
-		msg := core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID}
+		msg := core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID, Schedule: j.Schedule}
 		if j.Spec != nil {
 			s, ok := j.Spec.Decode()
 			if !ok {
@@ -205,7 +214,10 @@
 		}
 		if a := j.Answer; a != nil {
 			msg.Answer = &core.AnswerUser{Status: a.Status, RetryAfter: time.Duration(a.RetryMS) * time.Millisecond,
-				View: core.JobView{ID: j.ID, State: a.State, Done: a.Done, Running: a.Running}, Field: a.Field, Reason: a.Reason}
+				View: core.JobView{ID: a.ViewID, State: a.State, Done: a.Done, Running: a.Running}, Field: a.Field, Reason: a.Reason, ETag: a.ETag}
+			if len(a.Doc) > 0 {
+				msg.Answer.Doc = a.Doc
+			}
 		}
 		m.inbox <- core.PeerIn{From: j.From, Msg: msg}
 	}
--- /dev/null
+++ b/internal/schedule/decide.go
@@ -0,0 +1,118 @@
+package schedule
+
+import (
+	"time"
+
+	"yewpass/internal/calendar"
+)
+
+// Verdict is what is to become of the next occurrence.
+type Verdict int
+
+// The verdicts.
+const (
+	Never Verdict = iota // there is none any more
+	Later                // it is not due yet
+	Make                 // it becomes a job
+	Miss                 // it does not run
+	Hold                 // it waits for the job before
+)
+
+// Before is what is known of the occurrence before.
+type Before struct {
+	Live  bool      // its job is not over
+	Ended time.Time // when it was over; zero: unknown, or there was none
+}
+
+// Decide says what is to become of the first occurrence after the cursor, which
+// is the nominal time of the last one that was decided, and why if it is missed.
+// now is the time of day.
+func (d *Def) Decide(cursor, now time.Time, before Before) (o calendar.Occurrence, v Verdict, reason string) {
+	o, ok := d.Timing.Next(cursor)
+	switch {
+	case !ok:
+		return o, Never, ""
+	case o.Start.After(now):
+		return o, Later, ""
+	}
+	since := o.Start
+	if before.Live {
+		switch d.Overlap {
+		case SkipOverlap:
+			return o, Miss, "the one before was not over"
+		case WaitOverlap:
+			return o, Hold, ""
+		}
+	} else if d.Overlap == WaitOverlap && before.Ended.After(since) {
+		since = before.Ended // what waited on purpose is not late
+	}
+	late := now.Sub(since)
+	if late <= OnTime {
+		return o, Make, ""
+	}
+	switch {
+	case d.CatchUp == None:
+		return o, Miss, "could not be made in time"
+	case late > d.Within:
+		return o, Miss, "could not be made within catch_up_within_s"
+	case d.CatchUp == Latest:
+		if next, ok := d.Timing.Next(o.Nominal); ok && !next.Start.After(now) {
+			return o, Miss, "a later one was due as well"
+		}
+	}
+	return o, Make, ""
+}
+
+// From returns the cursor of a schedule that begins now: no occurrence that
+// starts at or before now is owed.
+func (d *Def) From(now time.Time) time.Time {
+	cursor := calendar.Wall(now, d.Timing.Zone())
+	// Of the hour that autumn repeats only the first passing counts: on the second
+	// the clock shows times whose occurrence has been.
+	for o, ok := d.Timing.Next(cursor); ok && !o.Start.After(now); o, ok = d.Timing.Next(cursor) {
+		cursor = o.Nominal
+	}
+	return cursor
+}
+
+// Edited returns the cursor of a schedule that had the definition old. What was
+// made is not made again. What was due and not made yet is still made if the new
+// definition has it too; otherwise it is missed, and missed names it.
+func (d *Def) Edited(old *Def, cursor, now time.Time) (next time.Time, missed []calendar.Occurrence) {
+	if old == nil || d.Timing.Same(old.Timing) {
+		return cursor, nil
+	}
+	for c := cursor; len(missed) < maxOwed; {
+		o, ok := old.Timing.Next(c)
+		if !ok || o.Start.After(now) {
+			break
+		}
+		if d.Timing.Zone() == old.Timing.Zone() && d.Timing.Has(o.Nominal) {
+			return c, missed
+		}
+		missed = append(missed, o)
+		c = o.Nominal
+	}
+	next = d.From(now)
+	if cursor.After(next) {
+		next = cursor // a zone further west: its clocks have yet to show what was made
+	}
+	return next, missed
+}
+
+// maxOwed bounds what an edit or a pause looks through of what was owed.
+const maxOwed = 256
+
+// Passed returns the cursor after everything that is due, and the latest of what
+// it passes over.
+func (d *Def) Passed(cursor, now time.Time) (next time.Time, missed []calendar.Occurrence) {
+	for len(missed) < maxOwed {
+		o, ok := d.Timing.Next(cursor)
+		if !ok || o.Start.After(now) {
+			return cursor, missed
+		}
+		missed = append(missed, o)
+		cursor = o.Nominal
+	}
+	return d.From(now), missed
+}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yewpass/internal/core"
+	"yewpass/internal/schedule"
 	"yewpass/internal/wire"
 )
 
@@ -235,6 +236,73 @@
 	Term uint64 `json:"term"`
 }
 
+// scheduleJSON is a schedule. Times are in milliseconds, 0 where unknown.
+type scheduleJSON struct {
+	Type    string          `json:"type"` // "schedule"
+	Number  uint64          `json:"number"`
+	Seq     uint64          `json:"seq"`
+	Edition uint64          `json:"edition"`
+	File    json.RawMessage `json:"file"`
+	Paused  bool            `json:"paused,omitempty"`
+	Cursor  int64           `json:"cursorMs"`
+	LastJob string          `json:"lastJob,omitempty"`
+	Made    int64           `json:"made,omitempty"`
+	Missed  int64           `json:"missed,omitempty"`
+	Late    int64           `json:"late,omitempty"`
+	Last    []pastJSON      `json:"last,omitempty"`
+}
+
+// pastJSON is an occurrence in a schedule's history; there are many.
+type pastJSON struct {
+	Job     string `json:"j"`
+	Planned int64  `json:"p"`
+	Due     int64  `json:"d,omitempty"`
+	Made    int64  `json:"m,omitempty"`
+	Started int64  `json:"b,omitempty"`
+	Ended   int64  `json:"e,omitempty"`
+	State   string `json:"s"`
+	Late    bool   `json:"l,omitempty"`
+	Reason  string `json:"r,omitempty"`
+}
+
+// numberJSON is up to which number schedules may have been numbered.
+type numberJSON struct {
+	Type   string `json:"type"` // "number"
+	Number uint64 `json:"number"`
+}
+
+func toMS(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromMS(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
+
+func encodeSchedule(r *schedule.Record) scheduleJSON {
+	j := scheduleJSON{"schedule", r.Number, r.Seq, r.Edition, r.File, r.Paused, toMS(r.Cursor), r.LastJob, r.Made, r.Missed, r.Late, nil}
+	for _, e := range r.Last {
+		j.Last = append(j.Last, pastJSON{e.Job, toMS(e.Planned), toMS(e.Due), toMS(e.Made), toMS(e.Started), toMS(e.Ended), e.State, e.Late, e.Reason})
+	}
+	return j
+}
+
+func (j *scheduleJSON) decode() *schedule.Record {
+	r := &schedule.Record{Number: j.Number, Seq: j.Seq, Edition: j.Edition, File: j.File, Paused: j.Paused, Cursor: fromMS(j.Cursor),
+		LastJob: j.LastJob, Made: j.Made, Missed: j.Missed, Late: j.Late}
+	for _, e := range j.Last {
+		r.Last = append(r.Last, schedule.Entry{Job: e.Job, Planned: fromMS(e.Planned), Due: fromMS(e.Due), Made: fromMS(e.Made),
+			Started: fromMS(e.Started), Ended: fromMS(e.Ended), State: e.State, Late: e.Late, Reason: e.Reason})
+	}
+	return r
+}
+
 // SpecRecord is a job's description as records and peers carry it.
 type SpecRecord struct {
 	ID              string       `json:"id"`
@@ -295,6 +363,10 @@
 		return leaderJSON{"leader", v.Node, v.Term}
 	case *core.TermRecord:
 		return leaderJSON{"term", "", v.Term}
+	case *schedule.Record:
+		return encodeSchedule(v)
+	case *core.NumberRecord:
+		return numberJSON{"number", v.Number}
 	}
 	return nil
 }
@@ -348,6 +420,16 @@
 		if json.Unmarshal(e.V, &l) == nil {
 			out.Value = &core.TermRecord{Term: l.Term}
 		}
+	case "schedule":
+		var j scheduleJSON
+		if json.Unmarshal(e.V, &j) == nil && j.Number > 0 && len(j.File) > 0 {
+			out.Value = j.decode()
+		}
+	case "number":
+		var n numberJSON
+		if json.Unmarshal(e.V, &n) == nil {
+			out.Value = &core.NumberRecord{Number: n.Number}
+		}
 	}
 	return out
 }
