--- a/cmd/yewpass/client.go
+++ b/cmd/yewpass/client.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -89,13 +88,7 @@
 	}
 	node := nodeFlag(cmd)
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		var data []byte
-		var err error
-		if args[0] == "-" {
-			data, err = io.ReadAll(cmd.InOrStdin())
-		} else {
-			data, err = os.ReadFile(args[0])
-		}
+		data, err := readFile(cmd, args[0])
 		if err != nil {
 			return err
 		}
@@ -122,13 +115,27 @@
 	return cmd
 }
 
+// call makes a request and prints the answer.
 func call(cmd *cobra.Command, method, node, path string, body []byte) error {
+	var v json.RawMessage
+	if err := exchange(method, node, path, body, nil, &v); err != nil {
+		return err
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(v)))
+	return nil
+}
+
+// exchange makes a request and reads the answer into v.
+func exchange(method, node, path string, body []byte, head http.Header, v any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
+	for k, vs := range head {
+		req.Header[k] = vs
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
@@ -147,6 +154,8 @@
 		}
 		return &statusError{resp.StatusCode, e.Error, resp.Header.Get("Retry-After")}
 	}
-	fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(data)))
+	if err := json.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("the node's answer is not JSON: %w", err)
+	}
 	return nil
 }
--- a/cmd/yewpass/main.go
+++ b/cmd/yewpass/main.go
@@ -28,6 +28,7 @@
 		Short: "A scheduler for clusters of rented machines",
 		Long:  "yewpass --config FILE runs a controller node. The other commands check its files and talk to a running node.",
 		Example: "  yewpass --config settings.toml --operators deploy/operators.toml\n" +
+			"  yewpass schedule preview nightly.toml --operators deploy/operators.toml --count 5\n" +
 			"  yewpass completion bash > /etc/bash_completion.d/yewpass",
 		Version:       version(),
 		Args:          cobra.NoArgs,
@@ -51,7 +52,7 @@
 	}
 	cmd.Flags().StringVar(&settings, "config", "", "settings file that the platform hands over")
 	cmd.Flags().StringVar(&ops, "operators", "", "operators' file, see deploy/operators.toml; the defaults otherwise")
-	cmd.AddCommand(checkCommand(), submitCommand(), statusCommand(), cancelCommand())
+	cmd.AddCommand(checkCommand(), submitCommand(), statusCommand(), cancelCommand(), scheduleCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/yewpass/schedule.go
@@ -0,0 +1,357 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"yewpass/internal/calendar"
+	"yewpass/internal/operators"
+	"yewpass/internal/schedule"
+)
+
+func scheduleCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use: "schedule", Aliases: []string{"schedules"}, Short: "Recurring jobs: add, look at and change schedules",
+		Long: "A schedule makes a job at times of day, on dates of a recurrence rule, bound to a calendar of business days. docs/operations/schedules.md describes its file.",
+		Example: "  yewpass schedule preview nightly.toml --operators deploy/operators.toml --count 5\n" +
+			"  yewpass schedule add nightly.toml --node 10.0.0.1:8080\n" +
+			"  yewpass schedule history nightly --json",
+	}
+	cmd.AddCommand(previewCommand(), putCommand("add", "Add the schedule that a TOML file describes; - reads standard input"),
+		putCommand("edit", "Replace the definition of the schedule that a TOML file names; - reads standard input"),
+		listCommand(), showCommand(), historyCommand(), upcomingCommand(), runCommand(),
+		scheduleAction("pause", "Make no jobs until resumed", http.MethodPost, "/pause"),
+		scheduleAction("resume", "Make jobs again; what was due meanwhile does not run", http.MethodPost, "/resume"),
+		scheduleAction("remove", "Remove a schedule; jobs that it has made go on", http.MethodDelete, ""))
+	return cmd
+}
+
+func readFile(cmd *cobra.Command, path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(cmd.InOrStdin())
+	}
+	return os.ReadFile(path)
+}
+
+func scheduleFile(cmd *cobra.Command, path string) (*schedule.File, error) {
+	data, err := readFile(cmd, path)
+	if err != nil {
+		return nil, err
+	}
+	f, err := schedule.ParseTOML(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+func schedulePath(name string) string { return "/v2/schedules/" + url.PathEscape(name) }
+
+func putCommand(verb, short string) *cobra.Command {
+	cmd := &cobra.Command{Use: verb + " FILE", Short: short, Args: cobra.ExactArgs(1), Example: "  yewpass schedule " + verb + " nightly.toml"}
+	node, asJSON := nodeFlag(cmd), jsonFlag(cmd)
+	match := new(string)
+	if verb == "edit" {
+		match = cmd.Flags().String("if-match", "", "the ETag that the edit is based on; by default the one that the schedule has now")
+	}
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		f, err := scheduleFile(cmd, args[0])
+		if err != nil {
+			return err
+		}
+		head := http.Header{"If-None-Match": {"*"}}
+		if verb == "edit" {
+			if *match == "" {
+				var v schedule.View
+				if err := exchange(http.MethodGet, *node, schedulePath(f.Name), nil, nil, &v); err != nil {
+					return err
+				}
+				*match = v.ETag
+			}
+			head = http.Header{"If-Match": {*match}}
+		}
+		data, err := json.Marshal(f)
+		if err != nil {
+			return err
+		}
+		var v schedule.View
+		if err := exchange(http.MethodPut, *node, schedulePath(f.Name), data, head, &v); err != nil {
+			return err
+		}
+		return show(cmd, *asJSON, v, func(w io.Writer) { viewText(w, &v) })
+	}
+	return cmd
+}
+
+func jsonFlag(cmd *cobra.Command) *bool {
+	return cmd.Flags().Bool("json", false, "print JSON")
+}
+
+// show prints a document, as JSON or as text.
+func show(cmd *cobra.Command, asJSON bool, v any, text func(w io.Writer)) error {
+	if asJSON {
+		enc := json.NewEncoder(cmd.OutOrStdout())
+		enc.SetEscapeHTML(false)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 8, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+func stamp(t *time.Time) string {
+	if t == nil || t.IsZero() {
+		return "-"
+	}
+	return t.Format(time.RFC3339)
+}
+
+func next(u *schedule.Upcoming) string {
+	if u == nil {
+		return "-"
+	}
+	return u.Start.Format(time.RFC3339)
+}
+
+func viewText(w io.Writer, v *schedule.View) {
+	var f schedule.File
+	if json.Unmarshal(v.Schedule, &f) != nil {
+		return
+	}
+	state := "active"
+	if v.Paused {
+		state = "paused"
+	}
+	if v.Problem != "" {
+		state = "makes no jobs: " + v.Problem
+	}
+	orNone := func(s string) string {
+		if s == "" {
+			return "-"
+		}
+		return s
+	}
+	fmt.Fprintf(w, "name\t%s\nstate\t%s\nnumber\t%d\netag\t%s\nrule\t%s\nat\t%s %s\ncalendar\t%s %s\n", f.Name, state, v.Number, v.ETag, f.Rule,
+		strings.Join(f.At, " "), f.Zone, orNone(f.Calendar), f.OnHoliday)
+	fmt.Fprintf(w, "due at\t%s\noverlap\t%s\ncatch up\t%s\nmade\t%d\nmissed\t%d\nlate\t%d\nnext\t%s\n", orNone(f.DueAt), orNone(f.Overlap), orNone(f.CatchUp), v.Made, v.Missed, v.Late, next(v.Next))
+	if v.Next != nil {
+		fmt.Fprintf(w, "next job\t%s\n", v.Next.ID)
+	}
+}
+
+func showCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "show NAME", Short: "Show a schedule", Args: cobra.ExactArgs(1)}
+	node, asJSON := nodeFlag(cmd), jsonFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		var v schedule.View
+		if err := exchange(http.MethodGet, *node, schedulePath(args[0]), nil, nil, &v); err != nil {
+			return err
+		}
+		return show(cmd, *asJSON, v, func(w io.Writer) { viewText(w, &v) })
+	}
+	return cmd
+}
+
+func listCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "list", Short: "List all schedules", Args: cobra.NoArgs}
+	node, asJSON := nodeFlag(cmd), jsonFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		all := schedule.Page{Schedules: []schedule.Brief{}}
+		for after := ""; ; {
+			var p schedule.Page
+			if err := exchange(http.MethodGet, *node, "/v2/schedules?limit=200&after="+url.QueryEscape(after), nil, nil, &p); err != nil {
+				return err
+			}
+			all.Schedules = append(all.Schedules, p.Schedules...)
+			if !p.Truncated || len(p.Schedules) == 0 {
+				break
+			}
+			after = p.Schedules[len(p.Schedules)-1].Name
+		}
+		return show(cmd, *asJSON, all, func(w io.Writer) {
+			fmt.Fprintln(w, "NAME\tNEXT\tMADE\tMISSED\tLATE\tRULE")
+			for _, s := range all.Schedules {
+				when := next(s.Next)
+				if s.Paused {
+					when = "paused"
+				}
+				if s.Problem != "" {
+					when = s.Problem
+				}
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", s.Name, when, s.Made, s.Missed, s.Late, s.Rule)
+			}
+		})
+	}
+	return cmd
+}
+
+func historyCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "history NAME", Short: "Show the last occurrences, the latest first", Args: cobra.ExactArgs(1)}
+	node, asJSON := nodeFlag(cmd), jsonFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		var h schedule.History
+		if err := exchange(http.MethodGet, *node, schedulePath(args[0])+"/history", nil, nil, &h); err != nil {
+			return err
+		}
+		return show(cmd, *asJSON, h, func(w io.Writer) {
+			fmt.Fprintln(w, "PLANNED\tSTATE\tMADE\tSTARTED\tDONE\tDUE\tJOB\tREASON")
+			for _, p := range h.History {
+				state := p.State
+				if p.Late {
+					state += ", late"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", stamp(p.Planned), state, stamp(p.Made), stamp(p.Started), stamp(p.Done), stamp(p.Due), p.ID, p.Reason)
+			}
+		})
+	}
+	return cmd
+}
+
+func upcomingCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "upcoming NAME", Short: "Show the next occurrences and the ids of their jobs", Args: cobra.ExactArgs(1)}
+	node, asJSON := nodeFlag(cmd), jsonFlag(cmd)
+	count := cmd.Flags().Int("count", 10, "how many, 100 at the most")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		var c schedule.Coming
+		if err := exchange(http.MethodGet, *node, schedulePath(args[0])+"/upcoming?count="+strconv.Itoa(*count), nil, nil, &c); err != nil {
+			return err
+		}
+		return show(cmd, *asJSON, c, func(w io.Writer) {
+			fmt.Fprintln(w, "START\tDUE\tJOB\tREMARK")
+			for _, u := range c.Upcoming {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", u.Start.Format(time.RFC3339), stamp(u.Due), u.ID, u.Remark)
+			}
+		})
+	}
+	return cmd
+}
+
+func runCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "run NAME", Short: "Run a schedule's job now, once for each name of a request", Args: cobra.ExactArgs(1),
+		Example: "  yewpass schedule run nightly --request ticket-4711"}
+	node := nodeFlag(cmd)
+	jsonFlag(cmd) // the answer is JSON either way, as that of submit
+	request := cmd.Flags().String("request", "", "your name for this request: made again, it runs nothing again")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if *request == "" {
+			return fmt.Errorf("run: give --request, a name for this request")
+		}
+		data, err := json.Marshal(map[string]string{"request": *request})
+		if err != nil {
+			return err
+		}
+		return call(cmd, http.MethodPost, *node, schedulePath(args[0])+"/run", data)
+	}
+	return cmd
+}
+
+func scheduleAction(verb, short, method, path string) *cobra.Command {
+	cmd := &cobra.Command{Use: verb + " NAME", Short: short, Args: cobra.ExactArgs(1)}
+	node, asJSON := nodeFlag(cmd), jsonFlag(cmd)
+	match := cmd.Flags().String("if-match", "", "only if the schedule still has this ETag")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		head := http.Header{}
+		if *match != "" {
+			head.Set("If-Match", *match)
+		}
+		var v json.RawMessage
+		if err := exchange(method, *node, schedulePath(args[0])+path, nil, head, &v); err != nil {
+			return err
+		}
+		return show(cmd, *asJSON, v, func(w io.Writer) { fmt.Fprintf(w, "%s: %sd\n", args[0], verb) })
+	}
+	return cmd
+}
+
+func previewCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "preview FILE", Short: "Show when a schedule file would run, without a server", Args: cobra.ExactArgs(1),
+		Long: "One line an occurrence: start, due (or -), job id and a remark, separated by tabs. Of the id the part that the server gives is shown as ?.",
+		Example: "  yewpass schedule preview nightly.toml --operators deploy/operators.toml --from 2027-01-01T00:00:00Z --count 12\n" +
+			"  yewpass schedule preview nightly.toml --all"}
+	ops := cmd.Flags().String("operators", "", "operators' file with the calendars")
+	from := cmd.Flags().String("from", "", "show what starts at or after this time (RFC 3339); now by default")
+	count := cmd.Flags().Int("count", 10, "how many occurrences")
+	all := cmd.Flags().Bool("all", false, "show what is skipped as well")
+	asJSON := jsonFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		file, err := operators.Load(*ops)
+		if err != nil {
+			return err
+		}
+		f, err := scheduleFile(cmd, args[0])
+		if err != nil {
+			return err
+		}
+		def, err := f.Compile(file.Calendars)
+		if err != nil {
+			return fmt.Errorf("%s: %w", args[0], err)
+		}
+		at := time.Now()
+		if *from != "" {
+			if at, err = time.Parse(time.RFC3339, *from); err != nil {
+				return fmt.Errorf("--from: %q is not a time such as 2027-01-01T00:00:00Z", *from)
+			}
+		}
+		if *count < 1 {
+			return fmt.Errorf("--count: must be at least 1")
+		}
+		if !def.Timing.Occurs(calendar.Wall(at, def.Timing.Zone())) {
+			return fmt.Errorf("%s: rule: never occurs from %s on", args[0], at.Format(time.RFC3339))
+		}
+		type line struct {
+			schedule.Upcoming
+			Skipped bool `json:"skipped,omitempty"`
+		}
+		var lines []line
+		add := func(o calendar.Occurrence) {
+			u := *def.Tell(0, o)
+			u.ID = schedule.UnknownID(o.Nominal)
+			lines = append(lines, line{u, o.Skipped})
+		}
+		if *all {
+			// A date may have been moved here from some days before.
+			n := 0
+			for o := range def.Timing.All(calendar.DateOf(calendar.Wall(at, def.Timing.Zone())).AddDate(0, 0, -31)) {
+				if o.Start.Before(at) {
+					continue
+				}
+				if n == *count {
+					break
+				}
+				if !o.Skipped {
+					n++
+				}
+				add(o)
+			}
+		} else {
+			cursor := def.From(at.Add(-time.Nanosecond))
+			for range *count {
+				o, ok := def.Timing.Next(cursor)
+				if !ok {
+					break
+				}
+				add(o)
+				cursor = o.Nominal
+			}
+		}
+		if *asJSON {
+			return show(cmd, true, lines, nil)
+		}
+		for _, l := range lines {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s\t%s\t%s\t%s\n", l.Start.Format(time.RFC3339), stamp(l.Due), l.ID, l.Remark)
+		}
+		return nil
+	}
+	return cmd
+}
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -744,6 +744,10 @@
 // putSchedule creates a schedule or replaces the definition of one.
 func (c *Core) putSchedule(s *scheduled, call UserCall) {
 	l, q := c.lead, call.Schedule
+	if q.File == nil { // from a peer of another version
+		c.answer(call, AnswerUser{Status: 400, Field: "name", Reason: "no schedule in the request"})
+		return
+	}
 	def, err := q.File.Compile(c.cal)
 	if err == nil && !def.Timing.Occurs(calendar.Wall(c.wall(), def.Timing.Zone())) {
 		err = &calendar.FieldError{Field: "rule", Reason: "never occurs from now on"}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -69,8 +69,12 @@
 at 6s burst 14 gap=8s owner=u tasks=14 run=25s cpus=2 urgency=idle every=10s save=3s image=i3 vary=0.3 cancelled=0.1
 at 8s burst 5 gap=20s tasks=5 run=20s apart ordinary
 at 9s burst 5 gap=20s tasks=6 run=20s samePlace owner=u
+at 2s schedule all at=00:01,00:02,00:03,00:04,00:05,00:06 tasks=3 run=15s catch=all
+at 2s schedule skip at=00:01,00:02,00:03,00:04,00:05,00:06 run=50s overlap=skip by=00:30
+at 3s schedule wait at=00:01,00:02,00:03,00:04,00:05 run=30s overlap=wait every=10s save=2s
 at 10s submit wk-7 service tasks=2 owner=u
 at 150s cancel wk-7
+at 200s boots 100
 `
 
 // TestRandomFaults plays mixes of faults drawn from fixed seeds. Whatever comes,
@@ -96,7 +100,7 @@
 					fmt.Fprintf(&sb, "at %d.%03ds %s\n", at, rng.IntN(1000), kinds[rng.IntN(len(kinds))])
 				}
 			}
-			sb.WriteString("run 700s\nexpect done all\nexpect cancelled wk-7\nexpect leaders =1\n")
+			sb.WriteString("run 700s\nexpect done all\nexpect cancelled wk-7\nexpect leaders =1\nexpect made all =6\nexpect whole all\nexpect whole skip\nexpect whole wait\n")
 			if testing.Verbose() {
 				t.Log(sb.String())
 			}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"yewpass/internal/calendar"
 	"yewpass/internal/config"
 	"yewpass/internal/core"
 	"yewpass/internal/spec"
@@ -61,7 +62,7 @@
 }
 
 func newWorld() *world {
-	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, broken: map[string]bool{}}
+	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, cals: map[string]calendar.Definition{}, clerks: map[string]*clerk{}, broken: map[string]bool{}}
 	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
 	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, refilled: w.now}
 	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
@@ -125,6 +126,12 @@
 	switch f[0] {
 	case "seed":
 		s.seed, err = strconv.ParseUint(f[1], 10, 64)
+	case "start": // the time of day at which the scenario begins
+		var t time.Time
+		t, err = time.Parse(time.RFC3339, f[1])
+		s.clock.start, s.clock.now, s.store.refilled = t, t, t
+	case "calendar":
+		s.cals[f[1]] = definition(args(f[2:]))
 	case "nodes":
 		cs.Nodes, err = strconv.Atoi(f[1])
 	case "workers":
@@ -277,6 +284,8 @@
 		return compare(s.started, e[1])
 	case "requests": // to the state service
 		return compare(s.store.requests, e[1])
+	case "made", "missed", "late", "whole", "history":
+		return s.clerks[e[1]].holds(e)
 	case "leaders":
 		n := 0
 		for _, x := range s.nodes {
@@ -480,6 +489,15 @@
 			p, _ := strconv.Atoi(f[1])
 			w.cloud.boots = func() (time.Duration, bool) { return time.Duration(p), true }
 		}
+	case "schedule", "edit":
+		s.putSchedule(f[1], args(f[2:]))
+	case "pause", "resume", "remove", "start":
+		w.clerks[f[1]].ask(map[string]core.UserOp{"pause": core.OpSchedulePause, "resume": core.OpScheduleResume, "remove": core.OpScheduleDelete, "start": core.OpScheduleRun}[f[0]], args(f[2:]))
+	case "wander": // wander NODE D: its time of day goes D wrong
+		if n := s.node(f[1]); n != nil {
+			n.wander = span(f[2])
+			n.core.SetWander(n.wander)
+		}
 	case "plant":
 		s.plant(f[1])
 	default:
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -29,6 +29,16 @@
 }
 
 func (w *world) request(op core.UserOp, j *userJob, id string, timeout time.Duration, f func(status int, a core.AnswerUser)) {
+	call := core.UserCall{Op: op, ID: id}
+	if op == core.OpSubmit {
+		s := j.spec
+		call.Spec = &s
+	}
+	w.call(call, timeout, f)
+}
+
+// call makes a user's call through the load balancer.
+func (w *world) call(call core.UserCall, timeout time.Duration, f func(status int, a core.AnswerUser)) {
 	n := w.pickNode() // f learns in w.given when the node gave its answer
 	over := false
 	answer := func(status int, a core.AnswerUser) {
@@ -48,12 +58,8 @@
 			return
 		}
 		n.ask(func(ref uint64) any {
-			c := core.UserCall{Ref: ref, Op: op, ID: id}
-			if op == core.OpSubmit {
-				s := j.spec
-				c.Spec = &s
-			}
-			return c
+			call.Ref = ref
+			return call
 		}, func(v any) {
 			a := v.(core.AnswerUser)
 			given := w.now
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -307,7 +307,7 @@
 
 func (m *worker) start(o core.Order) {
 	t := &task{id: o.Task, try: o.Try, phase: core.Pulling}
-	t.job = m.jobs[o.Task.Job]
+	t.job = m.described(o.Task.Job)
 	refuse := ""
 	cpus, gpus, mem := 0.0, 0.0, 0.0
 	for _, x := range m.tasks {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -27,6 +27,7 @@
 	cfg     config.Config
 	rules   []byte // policy
 	cals    map[string]calendar.Definition
+	clerks  map[string]*clerk
 
 	reportEvery, lease, cancelWithin time.Duration
 
@@ -137,6 +138,8 @@
 	reply map[uint64]func(any)
 	wake  time.Time
 	links map[string]*link
+
+	wander time.Duration // of the time of day against the steady clock
 }
 
 type link struct {
@@ -166,6 +169,7 @@
 		}
 	}
 	n.core = core.New(&cfg, pol, n.calendars(), n.rng.Uint64())
+	n.core.SetWander(n.wander)
 	n.reply = map[uint64]func(any){}
 	n.links = map[string]*link{}
 	for _, o := range n.nodes {
