--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
 	"yewpass/internal/calendar"
 	"yewpass/internal/config"
 	"yewpass/internal/policy"
+	"yewpass/internal/schedule"
 	"yewpass/internal/timeline"
 )
 
@@ -252,3 +254,49 @@
 		})
 	}
 }
+
+// scheduleOn gives a leader a schedule that is due at a time of day, as a
+// take-over reads it.
+func scheduleOn(tb testing.TB, c *Core, i int, at string) {
+	tb.Helper()
+	file := fmt.Sprintf(`{"name":"s%05d","zone":"Europe/Sofia","rule":"FREQ=MONTHLY;BYMONTHDAY=-1","at":["%s"],"due_at":"06:00","job":{"jobclass":"c","owner":"t",
+"shape":"array","urgency":"urgent","shards":16,"vcpus":1,"gpus":0,"memGb":1,"bundle":"img","sizeGb":1,"samePlace":false,"apart":false,"reclaimable":true,
+"runtimeS":60,"snapshotEveryS":0,"snapshotS":0}}`, i, at)
+	rec := &schedule.Record{Number: uint64(i + 1), Seq: 1, File: []byte(file), Cursor: t0.UTC()}
+	for range schedule.HistoryLength {
+		rec.Add(schedule.Entry{Job: schedule.JobID(rec.Number, t0), Planned: t0, Due: t0, Made: t0, Started: t0, Ended: t0, State: schedule.StateDone})
+	}
+	c.loadSchedule(Entry{Key: scheduleKeys + fmt.Sprintf("s%05d", i), Value: rec, Rev: 1})
+	if s := c.lead.sched.byName[fmt.Sprintf("s%05d", i)]; s.def == nil {
+		tb.Fatal(s.problem)
+	}
+}
+
+// BenchmarkScheduleTick is the leader's regular work with few and with many
+// schedules, and what one of them holds in memory.
+func BenchmarkScheduleTick(b *testing.B) {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for _, n := range []int{0, 100, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := leaderOf(b, 100)
+			before := heap()
+			for i := range n {
+				scheduleOn(b, c, i, fmt.Sprintf("%02d:%02d", i%24, i%60))
+			}
+			c.out = nil
+			held := heap() - before
+			for b.Loop() {
+				c.housekeep()
+				c.dueSchedules()
+				c.pumpStore()
+				c.out = c.out[:0]
+			}
+			b.ReportMetric(float64(held)/float64(max(n, 1)), "bytes/schedule")
+		})
+	}
+}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -9,6 +9,9 @@
 	CPUs, CPUsUsed         float64 // of the reporting ones
 	Unaccounted            int     // machines that may hold an earlier term's tasks
 	BacklogSeconds         float64
+
+	Schedules                                           int   // read by this leader
+	OccurrencesMade, OccurrencesMissed, OccurrencesLate int64 // by this leader
 }
 
 // Stats returns the figures of now.
@@ -20,6 +23,8 @@
 	}
 	s.Leads, s.Authority = true, c.leads()
 	s.Jobs, s.Machines, s.Unaccounted, s.BacklogSeconds = len(l.jobs), len(l.fleet), len(l.owed), l.rent.backlog.Seconds()
+	s.Schedules = len(l.sched.names)
+	s.OccurrencesMade, s.OccurrencesMissed, s.OccurrencesLate = l.sched.made, l.sched.missed, l.sched.late
 	for _, j := range l.jobs {
 		s.Waiting += j.waiting
 		s.Running += len(j.runs)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -33,6 +33,10 @@
 		"yewpass_cpus":                 func(s *core.Stats) float64 { return s.CPUs },
 		"yewpass_cpus_used":            func(s *core.Stats) float64 { return s.CPUsUsed },
 		"yewpass_backlog_seconds":      func(s *core.Stats) float64 { return s.BacklogSeconds },
+		"yewpass_schedules":            func(s *core.Stats) float64 { return float64(s.Schedules) },
+		"yewpass_occurrences_made":     func(s *core.Stats) float64 { return float64(s.OccurrencesMade) },
+		"yewpass_occurrences_missed":   func(s *core.Stats) float64 { return float64(s.OccurrencesMissed) },
+		"yewpass_occurrences_late":     func(s *core.Stats) float64 { return float64(s.OccurrencesLate) },
 	} {
 		metrics.NewGauge(name, func() float64 { return f(g.now.Load()) })
 	}
--- /dev/null
+++ b/internal/scenario/schedule_scale_test.go
@@ -0,0 +1,183 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"yewpass/internal/config"
+	"yewpass/internal/core"
+	"yewpass/internal/schedule"
+	"yewpass/internal/state"
+)
+
+// scheduledWorld returns a world with n schedules on record, due every day at the
+// times given, and controllers that are not up yet.
+func scheduledWorld(tb testing.TB, n int, limits config.State, at func(i int) string) *world {
+	tb.Helper()
+	w := newWorld()
+	begin := time.Date(2027, 1, 4, 1, 0, 0, 0, time.UTC)
+	w.clock.start, w.clock.now, w.store.refilled = begin, begin, begin
+	w.clock.rng = rand.New(rand.NewPCG(3, 3))
+	w.cfg.Settings.Teams = []config.Team{{Name: "t"}}
+	w.cfg.Settings.State = limits
+	w.cals["bg"] = definition(map[string]string{"country": "BG"})
+	w.cloud.flavors = append(w.cloud.flavors, &flavorDef{name: "s", cpus: 8, mem: 64, rate: 1, ready: time.Minute, fetch: 1, zones: []string{"a"}})
+	w.adoptSettings(nil)
+	s := &script{world: w}
+	for i := range n {
+		name := fmt.Sprintf("s%05d", i)
+		s.putSchedule(name, args([]string{"tz=Europe/Sofia", "at=" + at(i), "calendar=bg", "on=next", "catch=all", "by=06:00"}))
+		w.queue = nil // nobody is up: the record is written here
+		c := s.clerks[name]
+		c.number = uint64(i + 1)
+		file, err := json.Marshal(c.file)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		rec := &schedule.Record{Number: c.number, Seq: 1, Edition: 1, File: file, Cursor: begin}
+		for d := range schedule.HistoryLength {
+			rec.Add(schedule.Entry{Job: schedule.JobID(c.number, begin.AddDate(0, 0, d-30)), Planned: begin, Due: begin, Made: begin, Started: begin, Ended: begin, State: schedule.StateDone})
+		}
+		_, _, body := state.Request(core.StoreCall{Op: core.StoreTxn, Then: []core.Write{{Key: "yewpass/schedule/" + name, Value: rec}}})
+		var t txn
+		if err := json.Unmarshal(body, &t); err != nil {
+			tb.Fatal(err)
+		}
+		w.store.multi(&t, func(int, []byte) {})
+	}
+	for i := range 3 {
+		w.nodes = append(w.nodes, &node{world: w, name: fmt.Sprintf("n%d", i)})
+	}
+	return w
+}
+
+// steadyUsers has a job submitted every 200 ms, and returns where the longest wait for
+// an acceptance is kept.
+func (w *world) steadyUsers() *time.Duration {
+	longest := new(time.Duration)
+	n := 0
+	var submit func()
+	submit = func() {
+		n++
+		s := &script{world: w}
+		j := s.job(fmt.Sprintf("wk-7%05d", n), map[string]string{})
+		began := w.now
+		w.call(core.UserCall{Op: core.OpSubmit, ID: j.spec.ID, Spec: &j.spec}, 5*time.Second, func(status int, a core.AnswerUser) {
+			if status != 201 {
+				*longest = time.Hour
+			}
+			*longest = max(*longest, w.now.Sub(began))
+		})
+		w.after(200*time.Millisecond, submit)
+	}
+	submit()
+	return longest
+}
+
+// small are the smaller deployment's allowances: what its bench gives.
+var small = config.State{RPS: 250, WriteRPS: 60, ValueKB: 16, TxnOps: 12}
+
+// TestTakeOverOf10000 has a leader take over 10,000 schedules: it serves from the
+// beginning, and makes the first occurrence in time.
+func TestTakeOverOf10000(t *testing.T) {
+	t.Parallel()
+	const n = 10_000
+	w := scheduledWorld(t, n, small, func(i int) string {
+		if i == n-1 {
+			return "03:01"
+		}
+		return "04:00"
+	})
+	for _, n := range w.nodes {
+		n.boot()
+	}
+	leads := func(n *node) bool {
+		return n.core != nil && n.core.Stats().Authority && n.core.Stats().Machines == 0 && n.core.Ready()
+	}
+	for !slices.ContainsFunc(w.nodes, leads) && w.step(w.start.Add(time.Minute)) {
+	}
+	w.step(w.now.Add(20 * time.Millisecond)) // the machine types are on their way
+	longest := w.steadyUsers()
+	began, loaded := w.store.requests, time.Duration(0)
+	for w.step(w.start.Add(70 * time.Second)) {
+		if loaded == 0 {
+			for _, x := range w.nodes {
+				if x.core.Stats().Schedules == n {
+					loaded = w.elapsed()
+				}
+			}
+		}
+	}
+	c := &clerk{s: &script{world: w}, number: n}
+	if made := c.jobsMade(); len(made) != 1 {
+		t.Error("the occurrence due after a minute has not been made:", made)
+	}
+	if loaded == 0 || loaded > 20*time.Second || *longest > 500*time.Millisecond {
+		t.Errorf("read after %s; users waited for %s", loaded, *longest)
+	}
+	t.Logf("%d schedules read after %s of virtual time; users waited for %s at the most; %d requests in 70 s", n, loaded, *longest, w.store.requests-began)
+}
+
+// TestThousandAtOnce makes 1,000 occurrences that are due in the same minute,
+// within the smaller deployment's allowances, while users submit.
+func TestThousandAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, limits := range []config.State{small, {RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 48}} {
+		w := scheduledWorld(t, 1000, limits, func(int) string { return "03:01" })
+		for _, n := range w.nodes {
+			n.boot()
+		}
+		for w.step(w.start.Add(59 * time.Second)) {
+		}
+		longest := w.steadyUsers()
+		requests, refused, puts := w.store.requests, w.store.refused, w.store.puts
+		took := time.Duration(0)
+		for w.step(w.start.Add(3 * time.Minute)) {
+			if took == 0 && w.elapsed() > time.Minute {
+				for _, n := range w.nodes {
+					if n.core.Stats().OccurrencesMade == 1000 {
+						took = w.elapsed() - time.Minute
+						requests, puts = w.store.requests-requests, w.store.puts-puts
+					}
+				}
+			}
+		}
+		if took == 0 || took > time.Minute || *longest > 500*time.Millisecond || w.store.refused > refused || len(w.violations) > 0 {
+			t.Errorf("made within %s, users waited for %s, %d refused, %v", took, *longest, w.store.refused-refused, w.violations)
+		}
+		t.Logf("%.0f changes a second, %d a transaction: 1,000 occurrences made within %s with %d requests and %d changes, five submissions a second among them; users waited for %s at the most",
+			limits.WriteRPS, limits.TxnOps, took, requests, puts, *longest)
+	}
+}
+
+// BenchmarkLoadSchedules is the work of a take-over for 100 schedules: a page of
+// records read, checked, and put where they are due.
+func BenchmarkLoadSchedules(b *testing.B) {
+	w := scheduledWorld(b, 100, small, func(i int) string { return fmt.Sprintf("%02d:30", i%24) })
+	var page []byte
+	w.store.reqs = 1
+	w.store.serve("n0", "GET", "/store?under=yewpass/schedule/&limit=100", nil, func(_ int, data []byte) { page = data })
+	set := w.calendars()
+	if n := len(state.Decode(core.StoreList, 200, page).Entries); n != 100 {
+		b.Fatal(n, "records in a page")
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, e := range state.Decode(core.StoreList, 200, page).Entries {
+			f, err := schedule.ParseJSON(e.Value.(*schedule.Record).File)
+			if err != nil {
+				b.Fatal(err)
+			}
+			def, err := f.Compile(set)
+			if err != nil {
+				b.Fatal(err)
+			}
+			def.Timing.Next(w.now)
+		}
+	}
+	b.ReportMetric(float64(len(page))/100, "bytes/schedule")
+}
