--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yewpass/internal/core"
+	"yewpass/internal/schedule"
 )
 
 // serve runs a server whose core is answered by f, and returns its address.
@@ -173,3 +174,60 @@
 		}
 	}
 }
+
+// TestSchedules: each request reaches the core as what it is, what is wrong with
+// it is said with the field, and ETags go both ways.
+func TestSchedules(t *testing.T) {
+	var got *core.ScheduleCall
+	var op core.UserOp
+	url := serve(t, func(in any) any {
+		c := in.(core.UserCall)
+		got, op = c.Schedule, c.Op
+		if op == core.OpScheduleRun {
+			return core.AnswerUser{Status: 201, View: core.JobView{ID: "wk-9", State: core.Queued}}
+		}
+		return core.AnswerUser{Status: 200, ETag: `"1-2"`, Doc: schedule.Coming{}}
+	})
+	file := `{"name":"n","zone":"UTC","rule":"FREQ=DAILY","at":["01:00"],"job":{}}`
+	for _, c := range []struct {
+		method, path, body, head string
+		status                   int
+		op                       core.UserOp
+		field                    string
+	}{
+		{"PUT", "/n", file, "", 200, core.OpSchedulePut, ""}, {"PUT", "/n", strings.Replace(file, `"name":"n",`, "", 1), "If-Match: \"1-1\"", 200, core.OpSchedulePut, ""},
+		{"PUT", "/n", file, "If-None-Match: *", 200, core.OpSchedulePut, ""}, {"PUT", "/other", file, "", 400, "", "name"}, {"PUT", "/n", `{"rules":"x"}`, "", 400, "", "rules"},
+		{"PUT", "/n", `{`, "", 400, "", ""}, {"PUT", "/n", strings.Repeat("x", maxBody+1), "", 400, "", ""}, {"GET", "/n", "", "", 200, core.OpScheduleGet, ""},
+		{"GET", "/N", "", "", 404, "", "name"}, {"DELETE", "/n", "", "If-Match: \"1-1\"", 200, core.OpScheduleDelete, ""}, {"POST", "/n/pause", "", "", 200, core.OpSchedulePause, ""},
+		{"POST", "/n/resume", "", "", 200, core.OpScheduleResume, ""}, {"POST", "/n/run", `{"request":"r"}`, "", 201, core.OpScheduleRun, ""}, {"POST", "/n/run", `{}`, "", 400, "", "request"},
+		{"GET", "/n/upcoming?count=3", "", "", 200, core.OpScheduleUpcoming, ""}, {"GET", "/n/upcoming?count=3000", "", "", 400, "", "count"}, {"GET", "/n/history", "", "", 200, core.OpScheduleHistory, ""},
+		{"GET", "?after=m&limit=5", "", "", 200, core.OpScheduleList, ""}, {"GET", "?limit=x", "", "", 400, "", "limit"},
+	} {
+		got, op = nil, ""
+		req, _ := http.NewRequest(c.method, url+"/v2/schedules"+c.path, strings.NewReader(c.body))
+		if k, v, ok := strings.Cut(c.head, ": "); ok {
+			req.Header.Set(k, v)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		var e errorJSON
+		json.Unmarshal(data, &e)
+		if resp.StatusCode != c.status || op != c.op || e.Field != c.field {
+			t.Errorf("%s %s %.60s: %d %s %s", c.method, c.path, c.body, resp.StatusCode, op, data)
+			continue
+		}
+		switch {
+		case got == nil:
+		case c.head == "If-None-Match: *" && got.IfMatch != core.NewOnly, strings.HasPrefix(c.head, "If-Match") && got.IfMatch != `"1-1"`:
+			t.Errorf("%s %s %s: %+v", c.method, c.path, c.head, got)
+		case op == core.OpSchedulePut && got.File.Name != "n", op == core.OpScheduleUpcoming && got.Count != 3, op == core.OpScheduleRun && !strings.Contains(string(data), "wk-9"):
+			t.Errorf("%s %s: %+v %s", c.method, c.path, got, data)
+		case op != core.OpScheduleRun && resp.Header.Get("ETag") != `"1-2"`:
+			t.Errorf("%s %s: no ETag", c.method, c.path)
+		}
+	}
+}
--- a/internal/calendar/calendar_test.go
+++ b/internal/calendar/calendar_test.go
@@ -261,6 +261,12 @@
 			t.Errorf("%+v: %v, want a word about %s", x, err, c.field)
 		}
 	}
+	for _, rule := range []string{"FREQ=DAILY;INTERVAL=14;BYDAY=TU", "FREQ=DAILY;INTERVAL=1000;BYMONTH=2;BYMONTHDAY=29;COUNT=9999"} { // these take a start, a Monday
+		began := time.Now()
+		if _, err := ParseRule(rule, Date(2027, 3, 29), time.Time{}); err == nil || time.Since(began) > 5*time.Second {
+			t.Errorf("%s is taken, or holds up for %s", rule, time.Since(began))
+		}
+	}
 	for _, rule := range []string{"", "FREQ=OFTEN", "FREQ=HOURLY", "FREQ=DAILY;BYHOUR=3", "FREQ=DAILY;FREQ=DAILY", "FREQ=MONTHLY", "FREQ=DAILY;INTERVAL=2", "FREQ=DAILY;COUNT=3", "BYDAY=MO",
 		"FREQ=MONTHLY;BYDAY=53MO", "FREQ=MONTHLY;BYDAY=0MO", "FREQ=WEEKLY;BYDAY=2MO", "FREQ=WEEKLY;BYDAY=XX", "FREQ=MONTHLY;BYMONTHDAY=32", "FREQ=MONTHLY;BYMONTHDAY=0", "FREQ=DAILY;X=1", "FREQ",
 		"FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30", "FREQ=DAILY;UNTIL=soon", "FREQ=MONTHLY;BYWEEKNO=3", "FREQ=DAILY;BYSETPOS=1", "FREQ=DAILY;BYEASTER=1", "FREQ=DAILY;" + strings.Repeat("BYMONTH=1", 100)} {
--- a/internal/calendar/rule.go
+++ b/internal/calendar/rule.go
@@ -23,6 +23,7 @@
 
 	known time.Time   // dates holds every date of the rule from here to its last
 	dates []time.Time // ascending
+	none  time.Time   // none was found from here on
 }
 
 const (
@@ -100,12 +101,21 @@
 	if !r.from.IsZero() && !r.until.IsZero() && r.until.Before(r.from) {
 		return nil, fmt.Errorf("ends before it starts")
 	}
+	if opt.Freq == rrule.DAILY && opt.Interval%7 == 0 && len(opt.Byweekday) > 0 && !slices.ContainsFunc(opt.Byweekday, func(w rrule.Weekday) bool { return (w.Day()+1)%7 == int(starts.Weekday()) }) {
+		return nil, fmt.Errorf("never occurs: INTERVAL=%d keeps to the weekday of starts", opt.Interval)
+	}
 	if count > 0 {
-		last := time.Time{}
+		last, end := time.Time{}, r.from.AddDate(horizon, 0, 0)
 		for d, ok := r.Next(r.from); ok && count > 0; d, ok = r.Next(d.Add(Day)) {
+			if d.After(end) {
+				return nil, fmt.Errorf("COUNT reaches further than %d years", horizon)
+			}
 			last = d
 			count--
 		}
+		if last.IsZero() {
+			return nil, fmt.Errorf("never occurs within %d years", horizon)
+		}
 		r.until = last
 	}
 	return r, nil
@@ -304,10 +314,16 @@
 	if !r.until.IsZero() && d.After(r.until) {
 		return time.Time{}, false
 	}
+	if !r.none.IsZero() && !d.Before(r.none) {
+		return time.Time{}, false
+	}
 	if len(r.dates) == 0 || d.Before(r.known) || d.After(r.dates[len(r.dates)-1]) {
 		r.fill(d)
 	}
 	i, _ := slices.BinarySearchFunc(r.dates, d, time.Time.Compare)
+	if i == len(r.dates) {
+		r.none = d
+	}
 	if i == len(r.dates) || !r.until.IsZero() && r.dates[i].After(r.until) {
 		return time.Time{}, false
 	}
--- a/internal/calendar/timing.go
+++ b/internal/calendar/timing.go
@@ -142,7 +142,7 @@
 // Same reports whether two timings yield the same occurrences because they say
 // the same.
 func (t *Timing) Same(o *Timing) bool {
-	return t.zone == o.zone && t.rule == o.rule && slices.Equal(t.at, o.at) && t.calendar == o.calendar && t.onHoliday == o.onHoliday
+	return t.zone.String() == o.zone.String() && t.rule == o.rule && slices.Equal(t.at, o.at) && t.calendar == o.calendar && t.onHoliday == o.onHoliday
 }
 
 // maxDates bounds the dates of a rule that are looked at for one occurrence, so
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"yewpass/internal/config"
 	"yewpass/internal/core"
+	"yewpass/internal/schedule"
 )
 
 func listen(t *testing.T) net.Listener {
@@ -74,4 +76,12 @@
 	if p := next(t, ib); p.Msg.Answer == nil || p.Msg.Answer.Status != 503 || p.Msg.Answer.RetryAfter != time.Second {
 		t.Errorf("%+v", p)
 	}
+	a.Send(core.PeerSend{To: "b", Msg: core.PeerMsg{Kind: core.PeerCall, Ref: 9, Op: core.OpSchedulePut, Schedule: &core.ScheduleCall{Name: "n", IfMatch: "e", File: &schedule.File{Rule: "FREQ=DAILY"}}}})
+	if p := next(t, ib); p.Msg.Schedule == nil || p.Msg.Schedule.File.Rule != "FREQ=DAILY" || p.Msg.Schedule.IfMatch != "e" {
+		t.Errorf("%+v", p)
+	}
+	a.Send(core.PeerSend{To: "b", Msg: core.PeerMsg{Kind: core.PeerAnswer, Ref: 9, Answer: &core.AnswerUser{Status: 201, ETag: "e2", Doc: schedule.Page{Truncated: true}}}})
+	if p := next(t, ib); p.Msg.Answer.ETag != "e2" || fmt.Sprintf("%s", p.Msg.Answer.Doc) != `{"schedules":null,"truncated":true}` {
+		t.Errorf("%+v", p.Msg.Answer)
+	}
 }
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -87,7 +87,12 @@
 		if !ok || o.Start.After(now) {
 			break
 		}
-		if d.Timing.Zone() == old.Timing.Zone() && d.Timing.Has(o.Nominal) {
+		if d.Timing.Zone().String() == old.Timing.Zone().String() && d.Timing.Has(o.Nominal) {
+			// Not from the cursor: between it and this one the new definition may
+			// have what the old one never had, and that is not owed.
+			if before := o.Nominal.Add(-time.Second); before.After(c) {
+				c = before
+			}
 			return c, missed
 		}
 		missed = append(missed, o)
--- a/internal/schedule/file.go
+++ b/internal/schedule/file.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math"
 	"strings"
 	"time"
@@ -77,7 +78,7 @@
 	d.DisallowUnknownFields()
 	err := d.Decode(f)
 	if err == nil && d.More() {
-		err = errors.New("more than one value")
+		err = io.EOF // not the end: something follows
 	}
 	if err == nil {
 		return f, nil
@@ -89,8 +90,8 @@
 	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
 		return nil, &calendar.FieldError{Field: strings.Trim(name, `"`), Reason: "no such field"}
 	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
+	var se *json.SyntaxError
+	if !errors.As(err, &se) && !errors.As(err, &te) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return nil, &calendar.FieldError{Field: "starts or ends", Reason: "no date such as 2027-01-31"}
 	}
 	return nil, &calendar.FieldError{Field: "", Reason: "the body is not a schedule in JSON"}
--- a/internal/state/client_test.go
+++ b/internal/state/client_test.go
@@ -1,11 +1,14 @@
 package state
 
 import (
+	"bytes"
 	"encoding/json"
+	"reflect"
 	"testing"
 	"time"
 
 	"yewpass/internal/core"
+	"yewpass/internal/schedule"
 )
 
 // TestDecode: what is malformed or unexpected is an unknown outcome, never a
@@ -56,7 +59,17 @@
 	if !ok || out.Spec.Runtime != in.Spec.Runtime || out.Spec.Flavors[0] != "f" || !out.Cancelled || !out.Submitted.Equal(in.Submitted) || !out.Spec.Dated {
 		t.Errorf("%+v", out)
 	}
-	for _, bad := range []string{`{}`, `[]`, `{"type":"job"}`, `{"type":"job","spec":{"id":"wk-1","tasks":0}}`, `{"type":"job","spec":{"id":"wk-2","tasks":1}}`,
+	rec := &schedule.Record{Number: 7, Seq: 3, Edition: 2, File: json.RawMessage(`{"name":"n"}`), Paused: true, Cursor: time.UnixMilli(60000).UTC(), LastJob: "wk-2"}
+	rec.Add(schedule.Entry{Job: "wk-2", Planned: time.UnixMilli(5000).UTC(), State: schedule.StateMade})
+	if data, err = json.Marshal(encodeValue(rec)); err != nil {
+		t.Fatal(err)
+	}
+	for _, data := range [][]byte{data, bytes.Replace(data, []byte(`"schedule",`), []byte(`"schedule" ,`), 1)} { // written by us, and as a store may write it
+		if got, _ := decodeEntry(entryJSON{K: "schedule/n", V: data, KeyRev: 3}).Value.(*schedule.Record); got == nil || !reflect.DeepEqual(got, rec) {
+			t.Errorf("%+v became %+v", rec, got)
+		}
+	}
+	for _, bad := range []string{`{}`, `{"type":"schedule"}`, `{"type":"schedule","number":1,"file":{},"past":"x"}`, `{"type":"schedule","number":0,"file":{}}`, `[]`, `{"type":"job"}`, `{"type":"job","spec":{"id":"wk-1","tasks":0}}`, `{"type":"job","spec":{"id":"wk-2","tasks":1}}`,
 		`{"type":"final","state":"queued"}`, `{"type":"leader"}`} {
 		if e := decodeEntry(entryJSON{K: "live/job/wk-1", V: []byte(bad)}); e.Value != nil {
 			t.Errorf("%s is taken for a record", bad)
