--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -64,7 +64,7 @@
 func newWorld() *world {
 	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, cals: map[string]calendar.Definition{}, clerks: map[string]*clerk{}, broken: map[string]bool{}}
 	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
-	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, refilled: w.now}
+	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, muted: map[string]mute{}, refilled: w.now}
 	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
 	w.cloud.boots = func() (time.Duration, bool) { return time.Duration(60 + w.rng.IntN(90)), true }
 	s := &w.cfg.Settings
@@ -426,6 +426,10 @@
 		if n := s.node(f[1]); n != nil {
 			w.store.denied[n.name] = w.now.Add(span(f[2]))
 		}
+	case "mute": // mute NODE D [late=D]: its transactions are applied, and not answered
+		if n := s.node(f[1]); n != nil {
+			w.store.muted[n.name] = mute{w.now.Add(span(f[2])), dur(args(f[3:]), "late", 0)}
+		}
 	case "cut": // cut WHO D hold|reset [only=HOSTS]
 		hosts := map[string]bool{}
 		if n := s.node(f[1]); n != nil {
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -23,6 +23,7 @@
 	keeps  uint64               // how many revisions back one can follow from
 	down   time.Time            // an outage lasts until then
 	denied map[string]time.Time // nodes that get 503 until then
+	muted  map[string]mute      // nodes whose transactions are applied and not answered
 
 	rps, writeRPS  float64
 	valueKB        float64
@@ -34,6 +35,13 @@
 	refused        int
 }
 
+// mute loses the answers to a node's transactions until a time; they are applied
+// at once or late.
+type mute struct {
+	until time.Time
+	late  time.Duration
+}
+
 type storedKey struct {
 	value json.RawMessage
 	rev   uint64
@@ -202,6 +210,8 @@
 	}
 	parts := strings.Split(u.Path, "/")
 	switch {
+	case u.Path == "/multi" && s.now.Before(s.muted[node].until):
+		s.after(s.muted[node].late, func() { s.multi(&t, func(int, []byte) {}) })
 	case u.Path == "/multi":
 		s.multi(&t, answer)
 	case u.Path == "/store":
