A record of machines that is applied late does not bring back an old list

Cause: a transaction whose answer was lost is sent again, and the first try may be applied minutes later under the same leader. Records of machines had no condition of their own, so an old list could replace a newer one; a successor then took machines that it could not reach for empty and started their tasks twice.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -12,6 +12,7 @@
 // the same way; together they cost a write or two.
 type group struct {
 	key      string
+	rev      uint64 // of the record
 	machines []*machine
 	size     int  // bytes, estimated
 	queued   bool // a change of it waits
@@ -58,6 +59,11 @@
 }
 
 // writeGroup writes a record of machines. What changes until then goes along.
+//
+// The record's own revision is a condition. A transaction whose answer was lost
+// is sent again and may be applied late all the same, under this very leader and
+// after newer ones: it must not bring back a list that lacks machines, which a
+// successor would take for empty.
 func (c *Core) writeGroup(g *group, ln lane) {
 	if g.queued && ln >= g.lane {
 		return
@@ -73,6 +79,7 @@
 			}
 			// What has been sent may not have been executed: it goes again.
 			g.queued, g.flushed, sent = false, c.now, true
+			ch.when = []Cond{{g.key, g.rev}}
 			news = nil
 			ch.size = g.size
 			rec := &MachineRecord{}
@@ -88,7 +95,11 @@
 			}
 			return true
 		}
-		ch.done = func(uint64) {
+		ch.failed = func() { c.rereadGroup(g, ln) }
+		ch.done = func(rev uint64) {
+			if g.rev = rev; ch.writes[0].Value == nil {
+				g.rev = 0
+			}
 			for _, m := range news {
 				if m.record == recording && m.group == g {
 					m.record = recorded
@@ -100,10 +111,27 @@
 	})
 }
 
+// rereadGroup learns a record's revision and writes it anew: an earlier try of
+// ours has been applied.
+func (c *Core) rereadGroup(g *group, ln lane) {
+	c.leaderStore(StoreCall{Op: StoreGet, Key: g.key}, func(r StoreReply) {
+		switch r.Outcome {
+		case OK:
+			g.rev = r.Entries[0].Rev
+		case Missing:
+			g.rev = 0
+		default:
+			c.whenLeading(c.jitter(500*time.Millisecond), func() { c.rereadGroup(g, ln) })
+			return
+		}
+		c.writeGroup(g, ln)
+	})
+}
+
 // loadGroup takes in a record of an earlier term.
-func (c *Core) loadGroup(key string, rec *MachineRecord) {
+func (c *Core) loadGroup(key string, rec *MachineRecord, rev uint64) {
 	l := c.lead
-	g := &group{key: key}
+	g := &group{key: key, rev: rev}
 	for _, r := range rec.Machines {
 		m := c.machine(r.Host, r.Flavor, r.Zone, r.Reclaimable)
 		if m.group != nil {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -304,8 +304,11 @@
 	rec := *j.rec
 	rec.Cancelled = true
 	c.lead.pipe.add(&change{
-		size:   recordSize(&rec.Spec),
+		size: recordSize(&rec.Spec),
+		// A try that is applied late must not bring back a job that is over.
+		when:   []Cond{{finalKeys + j.spec.ID, 0}},
 		writes: []Write{{Key: jobKeys + j.spec.ID, Value: &rec}},
+		failed: func() { j.answerCancels(c, unavailable("the job has just ended, try again")) },
 		done: func(uint64) {
 			j.cancelling, j.cancelled, j.rec = false, true, &rec
 			c.unbook(j)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -308,7 +308,7 @@
 			c.addJob(v, true)
 		}
 	case *MachineRecord:
-		c.loadGroup(e.Key, v)
+		c.loadGroup(e.Key, v, e.Rev)
 	case *ProgressRecord:
 		// Progress comes after jobs in key order, so the job is known by now.
 		id, chunk := splitChunkKey(e.Key[len(doneKeys):])
