--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -61,8 +60,7 @@
 	clouds  map[uint64]func(CloudReply)
 	probes  map[uint64]func(ProbeReply)
 	calls   map[uint64]*forwarded // users' requests at the leader's
-	wake    alarms
-	alarmed uint64
+	wake    byTime[func()]        // alarms: a large fleet has one for nearly every machine
 	lead    *leadership
 	hint    string // who leads, as far as we know
 	termMax uint64 // the highest term seen anywhere
@@ -75,32 +73,6 @@
 	report, lease, hold time.Duration
 }
 
-type alarm struct {
-	at  time.Time
-	seq uint64 // alarms of one moment ring in the order they were set
-	do  func()
-}
-
-// alarms is a heap: a large fleet has one for nearly every machine.
-type alarms []alarm
-
-func (a alarms) Len() int      { return len(a) }
-func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a alarms) Less(i, j int) bool {
-	if x := a[i].at.Compare(a[j].at); x != 0 {
-		return x < 0
-	}
-	return a[i].seq < a[j].seq
-}
-func (a *alarms) Push(x any) { *a = append(*a, x.(alarm)) }
-func (a *alarms) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	old[len(old)-1] = alarm{}
-	*a = old[:len(old)-1]
-	return x
-}
-
 // New returns a controller that has not begun; give it a Tick to begin.
 func New(cfg *config.Config, pol *policy.Policy, cal *calendar.Set, seed uint64) *Core {
 	final, _ := lru.New[string, FinalRecord](4096) // errs only for a size below 1
@@ -175,21 +147,25 @@
 // Wake returns when the core next wants a Tick.
 func (c *Core) Wake() time.Time {
 	at := c.now.Add(time.Second)
-	if len(c.wake) > 0 && c.wake[0].at.Before(at) {
-		at = c.wake[0].at
+	if c.wake.len() > 0 {
+		if first, _ := c.wake.first(); first.Before(at) {
+			at = first
+		}
 	}
 	return at
 }
 
 // after has f called once d has passed.
 func (c *Core) after(d time.Duration, f func()) {
-	c.alarmed++
-	heap.Push(&c.wake, alarm{c.now.Add(d), c.alarmed, f})
+	c.wake.push(c.now.Add(d), f)
 }
 
 func (c *Core) alarms() {
-	for len(c.wake) > 0 && !c.wake[0].at.After(c.now) {
-		heap.Pop(&c.wake).(alarm).do()
+	for c.wake.len() > 0 {
+		if at, _ := c.wake.first(); at.After(c.now) {
+			return
+		}
+		c.wake.pop()()
 	}
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -346,11 +346,14 @@
 	c.tickLead()
 }
 
-// tickLead does the leader's regular work twice a second.
+// tickEvery is how often the leader does its regular work.
+const tickEvery = 500 * time.Millisecond
+
+// tickLead does the leader's regular work.
 func (c *Core) tickLead() {
 	c.housekeep()
 	c.dueSchedules()
-	c.whenLeading(500*time.Millisecond, c.tickLead)
+	c.whenLeading(tickEvery, c.tickLead)
 }
 
 // leadPump runs after each input while we lead.
--- /dev/null
+++ b/internal/core/schedule_users.go
@@ -0,0 +1,359 @@
+package core
+
+import (
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"yewpass/internal/calendar"
+	"yewpass/internal/schedule"
+)
+
+// reply answers whoever waits for the write on its way.
+func (s *scheduled) reply(c *Core, a AnswerUser) {
+	if s.asker != nil {
+		c.answer(*s.asker, a)
+		s.asker = nil
+	}
+}
+
+// answerSchedules answers everybody who waits for a write of a schedule.
+func (c *Core) answerSchedules(l *leadership, a AnswerUser) {
+	for _, s := range l.sched.byName {
+		s.reply(c, a)
+		for _, call := range s.waiting {
+			c.answer(call, a)
+		}
+		s.waiting = nil
+	}
+}
+
+func noSchedule(name string) AnswerUser {
+	return AnswerUser{Status: 404, Field: "name", Reason: "no schedule " + name}
+}
+
+// serveSchedule answers as the leader.
+func (c *Core) serveSchedule(call UserCall) {
+	sch, q := &c.lead.sched, call.Schedule
+	if !sch.loaded {
+		c.answer(call, unavailable("the schedules are being read"))
+		return
+	}
+	if call.Op == OpScheduleList {
+		c.answer(call, AnswerUser{Status: 200, Doc: c.listSchedules(q)})
+		return
+	}
+	s := sch.byName[q.Name]
+	if s == nil {
+		if call.Op == OpSchedulePut {
+			c.putSchedule(nil, call)
+		} else {
+			c.answer(call, noSchedule(q.Name))
+		}
+		return
+	}
+	reads := call.Op == OpScheduleGet || call.Op == OpScheduleUpcoming || call.Op == OpScheduleHistory
+	if s.busy && (!reads || s.rec == nil) {
+		if len(s.waiting) >= waitingMost || s.rec == nil {
+			c.answer(call, unavailable("the schedule is being changed"))
+			return
+		}
+		s.waiting = append(s.waiting, call)
+		return
+	}
+	if !reads && q.IfMatch != "" && q.IfMatch != s.rec.ETag() {
+		reason := "the schedule has changed since it was read; its ETag is " + s.rec.ETag()
+		if q.IfMatch == NewOnly {
+			reason = "there is a schedule of this name"
+		}
+		c.answer(call, AnswerUser{Status: 412, Field: "name", Reason: reason})
+		return
+	}
+	switch call.Op {
+	case OpSchedulePut:
+		c.putSchedule(s, call)
+	case OpScheduleGet:
+		c.answer(call, c.viewOf(s, 200))
+	case OpScheduleUpcoming:
+		doc := schedule.Coming{Upcoming: []schedule.Upcoming{}}
+		for cursor := s.rec.Cursor; s.def != nil && !s.rec.Paused && len(doc.Upcoming) < q.Count; {
+			o, ok := s.def.Timing.Next(cursor)
+			if !ok {
+				break
+			}
+			doc.Upcoming = append(doc.Upcoming, *s.def.Tell(s.rec.Number, o))
+			cursor = o.Nominal
+		}
+		c.answer(call, AnswerUser{Status: 200, Doc: doc})
+	case OpScheduleHistory:
+		zone := time.UTC
+		if s.def != nil {
+			zone = s.def.Timing.Zone()
+		}
+		c.answer(call, AnswerUser{Status: 200, Doc: s.rec.Told(zone)})
+	case OpScheduleDelete:
+		c.deleteSchedule(s, call)
+	case OpSchedulePause, OpScheduleResume:
+		c.pauseSchedule(s, call)
+	case OpScheduleRun:
+		if s.def == nil {
+			c.answer(call, AnswerUser{Status: 422, Reason: s.problem})
+			return
+		}
+		job := s.def.Template()
+		job.ID = schedule.RequestID(s.rec.Number, q.Request)
+		if by := s.def.Timing.DueAfter(c.wall()); !by.IsZero() {
+			job.Due, job.Dated = by.Sub(c.wall()), true
+		}
+		c.serve(UserCall{Ref: call.Ref, From: call.From, Op: OpSubmit, ID: job.ID, Spec: &job})
+	}
+}
+
+// NewOnly as an ETag stands for a schedule that is not there yet.
+const NewOnly = "new"
+
+func (c *Core) viewOf(s *scheduled, status int) AnswerUser {
+	v := schedule.View{Schedule: s.rec.File, Number: s.rec.Number, ETag: s.rec.ETag(), Paused: s.rec.Paused, Problem: s.problem,
+		Next: s.comes(), Made: s.rec.Made, Missed: s.rec.Missed, Late: s.rec.Late}
+	return AnswerUser{Status: status, Doc: v, ETag: v.ETag}
+}
+
+// comes returns the next occurrence as users see it, or nil.
+func (s *scheduled) comes() *schedule.Upcoming {
+	if s.def == nil || s.rec.Paused {
+		return nil
+	}
+	o, ok := s.def.Timing.Next(s.rec.Cursor)
+	if !ok {
+		return nil
+	}
+	return s.def.Tell(s.rec.Number, o)
+}
+
+func (c *Core) listSchedules(q *ScheduleCall) schedule.Page {
+	sch := &c.lead.sched
+	page := schedule.Page{Schedules: []schedule.Brief{}}
+	i, found := slices.BinarySearch(sch.names, q.After)
+	if found {
+		i++
+	}
+	for size := 0; i < len(sch.names); i++ {
+		s := sch.byName[sch.names[i]]
+		var f schedule.File
+		if s.rec == nil || json.Unmarshal(s.rec.File, &f) != nil {
+			continue
+		}
+		size += 400 + 6*len(f.Rule) + len(f.Calendar) + len(f.Zone) + len(s.problem)
+		if len(page.Schedules) == q.Count || size > pageBytes && len(page.Schedules) > 0 {
+			page.Truncated = true
+			break
+		}
+		page.Schedules = append(page.Schedules, schedule.Brief{Name: s.name, Zone: f.Zone, Rule: f.Rule, Calendar: f.Calendar, Paused: s.rec.Paused,
+			Problem: s.problem, Next: s.comes(), Made: s.rec.Made, Missed: s.rec.Missed, Late: s.rec.Late})
+	}
+	return page
+}
+
+// putSchedule creates a schedule or replaces the definition of one.
+func (c *Core) putSchedule(s *scheduled, call UserCall) {
+	l, q := c.lead, call.Schedule
+	if q.File == nil { // from a peer of another version
+		c.answer(call, AnswerUser{Status: 400, Field: "name", Reason: "no schedule in the request"})
+		return
+	}
+	def, err := q.File.Compile(c.cal)
+	if err == nil && !def.Timing.Occurs(calendar.Wall(c.wall(), def.Timing.Zone())) {
+		err = &calendar.FieldError{Field: "rule", Reason: "never occurs from now on"}
+	}
+	if fe := (*calendar.FieldError)(nil); errors.As(err, &fe) {
+		c.answer(call, AnswerUser{Status: 400, Field: fe.Field, Reason: fe.Error()})
+		return
+	}
+	file, err := json.Marshal(q.File)
+	rec := &schedule.Record{File: file, Edition: 1}
+	if err != nil || float64(rec.Size()) > c.cfg.Settings.State.ValueKB*1024 {
+		c.answer(call, AnswerUser{Status: 400, Field: "at", Reason: "at, rule or job: the description is too long"})
+		return
+	}
+	if len(l.rent.flavors) == 0 {
+		c.answer(call, unavailable("the machine types are not known yet"))
+		return
+	}
+	job := def.Template()
+	if reason := c.neverRuns(&job); reason != "" {
+		c.answer(call, AnswerUser{Status: 422, Field: "job", Reason: "job: " + reason})
+		return
+	}
+	if float64(recordSize(&job)) > c.cfg.Settings.State.ValueKB*1024 {
+		c.answer(call, AnswerUser{Status: 400, Field: "job.flavors", Reason: "job.flavors: the description is too long"})
+		return
+	}
+	if s != nil {
+		cursor, missed := def.Edited(s.def, s.rec.Cursor, c.wall())
+		s.asker = &call
+		c.writeSchedule(s, urgent, func(r *schedule.Record) {
+			r.File = file
+			r.Edition++
+			r.Pass(missed, "the schedule was edited")
+			r.Cursor = cursor
+		}, nil, func() {
+			s.def, s.problem, s.held = def, "", false
+			c.note(slog.LevelInfo, "schedule edited", "schedule", s.name, "edition", s.rec.Edition)
+			s.reply(c, c.viewOf(s, 200))
+		}, nil)
+		return
+	}
+	if q.IfMatch != "" && q.IfMatch != NewOnly {
+		c.answer(call, AnswerUser{Status: 412, Field: "name", Reason: "there is no schedule of this name"})
+		return
+	}
+	s = &scheduled{name: q.Name, busy: true, asker: &call}
+	l.sched.byName[s.name] = s
+	c.number(func(n uint64, ok bool) {
+		if !ok {
+			delete(l.sched.byName, s.name)
+			s.reply(c, unavailable("the state service does not answer"))
+			return
+		}
+		rec.Number, rec.Cursor = n, def.From(c.wall())
+		c.createSchedule(s, rec)
+	})
+}
+
+// createSchedule writes the first record of a schedule.
+func (c *Core) createSchedule(s *scheduled, rec *schedule.Record) {
+	key := scheduleKeys + s.name
+	made := func(rec *schedule.Record, rev uint64) {
+		s.rec, s.rev = rec, rev
+		c.addSchedule(s)
+		c.written(s, func() { s.reply(c, c.viewOf(s, 201)) })
+	}
+	ch := &change{size: rec.Size(), when: []Cond{{key, 0}}, writes: []Write{{Key: key, Value: rec}}}
+	ch.done = func(rev uint64) {
+		c.note(slog.LevelInfo, "schedule created", "schedule", s.name, "number", rec.Number)
+		made(rec, rev)
+	}
+	ch.failed = func() { // a try of ours whose outcome was not known
+		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
+			if found == nil {
+				c.lead.pipe.add(ch)
+				return
+			}
+			made(found, rev)
+		})
+	}
+	ch.rejected = func() {
+		delete(c.lead.sched.byName, s.name)
+		s.reply(c, AnswerUser{Status: 400, Field: "name", Reason: "the state service rejects the record"})
+	}
+	c.lead.pipe.add(ch)
+}
+
+// number has f called with a number that no schedule ever had. Numbers are taken
+// from the state service in blocks; what is left of a block when a leader ends
+// is not used.
+func (c *Core) number(f func(n uint64, ok bool)) {
+	sch := &c.lead.sched
+	sch.numbers = append(sch.numbers, f)
+	c.handOutNumbers()
+}
+
+func (c *Core) handOutNumbers() {
+	sch := &c.lead.sched
+	for len(sch.numbers) > 0 && sch.next < sch.last {
+		f := sch.numbers[0]
+		sch.numbers = slices.Delete(sch.numbers, 0, 1)
+		sch.next++
+		f(sch.next, true)
+	}
+	if len(sch.numbers) == 0 || sch.numbering {
+		return
+	}
+	sch.numbering = true
+	fail := func() {
+		sch.numbering = false
+		fs := sch.numbers
+		sch.numbers = nil
+		for _, f := range fs {
+			f(0, false)
+		}
+	}
+	c.leaderStore(StoreCall{Op: StoreGet, Key: numberKey}, func(r StoreReply) {
+		var from, rev uint64
+		if r.Outcome == OK {
+			rec, _ := r.Entries[0].Value.(*NumberRecord)
+			if rec == nil || rec.Number+numberBlock > schedule.MaxNumber {
+				c.note(slog.LevelError, "no numbers for schedules are left", "key", numberKey)
+				fail()
+				return
+			}
+			from, rev = rec.Number, r.Entries[0].Rev
+		} else if r.Outcome != Missing {
+			fail()
+			return
+		}
+		c.lead.pipe.add(&change{
+			when: []Cond{{numberKey, rev}}, writes: []Write{{Key: numberKey, Value: &NumberRecord{from + numberBlock}}},
+			done: func(uint64) {
+				sch.next, sch.last, sch.numbering = from, from+numberBlock, false
+				c.handOutNumbers()
+			},
+			failed: func() { // a try of ours was applied: take the next block
+				sch.numbering = false
+				c.handOutNumbers()
+			},
+			rejected: fail,
+		})
+	})
+}
+
+func (c *Core) deleteSchedule(s *scheduled, call UserCall) {
+	s.busy, s.asker = true, &call
+	s.gen++
+	key := scheduleKeys + s.name
+	ch := &change{when: []Cond{{key, s.rev}}, writes: []Write{{Key: key}}}
+	done := func() {
+		c.note(slog.LevelInfo, "schedule removed", "schedule", s.name)
+		s.reply(c, AnswerUser{Status: 200, Doc: map[string]string{"name": s.name, "status": "removed"}})
+		c.forgetSchedule(s)
+	}
+	ch.done = func(uint64) { done() }
+	ch.failed = func() {
+		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
+			if found == nil {
+				done()
+				return
+			}
+			ch.when[0].Rev = rev
+			c.lead.pipe.add(ch)
+		})
+	}
+	c.lead.pipe.add(ch)
+}
+
+// pauseSchedule pauses a schedule, or resumes it: what would have run meanwhile
+// does not run.
+func (c *Core) pauseSchedule(s *scheduled, call UserCall) {
+	pause := call.Op == OpSchedulePause
+	if s.rec.Paused == pause {
+		c.answer(call, c.viewOf(s, 200))
+		return
+	}
+	cursor := s.rec.Cursor
+	var missed []calendar.Occurrence
+	if !pause && s.def != nil {
+		cursor, missed = s.def.Passed(cursor, c.wall())
+	}
+	s.asker = &call
+	c.writeSchedule(s, urgent, func(r *schedule.Record) {
+		r.Paused = pause
+		r.Edition++
+		r.Pass(missed, "the schedule was paused")
+		r.Cursor = cursor
+	}, nil, func() {
+		s.held = false
+		s.reply(c, c.viewOf(s, 200))
+	}, nil)
+}
--- /dev/null
+++ b/internal/core/schedule_write.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"yewpass/internal/schedule"
+)
+
+// writeSchedule writes a record as apply changes it, with the job of an
+// occurrence if there is one. taken is called when the job's id has a record
+// already.
+func (c *Core) writeSchedule(s *scheduled, ln lane, apply func(r *schedule.Record), job *JobRecord, done, taken func()) {
+	s.busy = true
+	s.gen++
+	ch := &change{lane: ln}
+	c.compose(s, ch, apply, job, done, taken)
+	c.lead.pipe.add(ch)
+}
+
+// compose fills in a change of a schedule's record.
+func (c *Core) compose(s *scheduled, ch *change, apply func(r *schedule.Record), job *JobRecord, done, taken func()) {
+	key := scheduleKeys + s.name
+	// Times are fixed here: what is applied to memory is what was written.
+	rec := s.rec.Clone()
+	apply(rec)
+	rec.Seq++
+	ch.size = rec.Size()
+	ch.when = []Cond{{key, s.rev}}
+	ch.writes = []Write{{Key: key, Value: rec}}
+	if job != nil {
+		id := job.Spec.ID
+		ch.size += recordSize(&job.Spec)
+		ch.when = append(ch.when, Cond{jobKeys + id, 0}, Cond{finalKeys + id, 0})
+		ch.writes = append(ch.writes, Write{Key: jobKeys + id, Value: job})
+	}
+	ch.done = func(rev uint64) {
+		// News of jobs that came meanwhile are in memory only, and go next. The
+		// record that was written stays as it is.
+		rec := rec.Clone()
+		rec.Follow(s.rec)
+		s.rec, s.rev = rec, rev
+		c.written(s, done)
+	}
+	ch.failed = func() {
+		// A condition did not hold. Ours to write: either an earlier try of this
+		// very change has been applied, or a job has the id.
+		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
+			switch {
+			case found == nil:
+				s.reply(c, noSchedule(s.name))
+				c.forgetSchedule(s)
+			case found.Seq == rec.Seq:
+				ch.done(rev)
+			case rev != s.rev:
+				s.rev = rev
+				ch.when[0].Rev = rev
+				c.lead.pipe.add(ch)
+			case taken != nil:
+				c.written(s, taken)
+			default:
+				c.lead.pipe.add(ch)
+			}
+		})
+	}
+	ch.rejected = func() {
+		s.def, s.problem = nil, "the state service rejects its record"
+		s.reply(c, unavailable(s.problem))
+		c.written(s, func() {})
+	}
+}
+
+// readSchedule reads a record back until the state service answers.
+func (c *Core) readSchedule(s *scheduled, f func(found *schedule.Record, rev uint64)) {
+	c.leaderStore(StoreCall{Op: StoreGet, Key: scheduleKeys + s.name}, func(r StoreReply) {
+		switch r.Outcome {
+		case OK:
+			if rec, _ := r.Entries[0].Value.(*schedule.Record); rec != nil {
+				f(rec, r.Entries[0].Rev)
+				return
+			}
+			c.note(slog.LevelError, "record is unreadable", "key", scheduleKeys+s.name)
+		case Missing:
+			f(nil, 0)
+			return
+		}
+		c.whenLeading(c.jitter(time.Second), func() { c.readSchedule(s, f) })
+	})
+}
+
+// written follows a write: what waited for it goes on.
+func (c *Core) written(s *scheduled, then func()) {
+	s.busy = false
+	then()
+	for !s.busy && len(s.waiting) > 0 {
+		call := s.waiting[0]
+		s.waiting = slices.Delete(s.waiting, 0, 1)
+		c.serveSchedule(call)
+	}
+	if s.busy || s.gone {
+		return
+	}
+	if s.dirty {
+		c.flushSchedule(s)
+	}
+	c.plan(s)
+}
+
+func (c *Core) forgetSchedule(s *scheduled) {
+	sch := &c.lead.sched
+	s.gone = true
+	s.gen++
+	if sch.byName[s.name] == s {
+		delete(sch.byName, s.name)
+		if i, found := slices.BinarySearch(sch.names, s.name); found {
+			sch.names = slices.Delete(sch.names, i, i+1)
+		}
+	}
+	c.written(s, func() {})
+}
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -1,9 +1,6 @@
 package core
 
 import (
-	"container/heap"
-	"encoding/json"
-	"errors"
 	"log/slog"
 	"slices"
 	"strings"
@@ -23,9 +20,8 @@
 	names  []string // sorted
 	loaded bool
 
-	later occasions // schedules by when their next occurrence is due
-	ready occasions // those that are due, by deadline
-	seq   uint64
+	later byTime[place] // schedules by when their next occurrence is due
+	ready byTime[place] // those that are due, by deadline
 
 	numbers    []func(n uint64, ok bool) // who waits for a number
 	next, last uint64                    // numbers at hand: next to last
@@ -55,7 +51,7 @@
 	waiting []UserCall // who asks next
 	gone    bool
 
-	gen       uint64    // of its place among the occasions; others are stale
+	gen       uint64    // of its place in a heap; others are stale
 	held      bool      // waits for the job before
 	notBefore time.Time // it was refused for now
 
@@ -63,33 +59,13 @@
 	flushing bool
 }
 
-// occasion is a schedule's place in a heap.
-type occasion struct {
-	at  time.Time
-	seq uint64
+// place is a schedule's place in a heap; it is stale once the schedule has
+// another.
+type place struct {
 	s   *scheduled
 	gen uint64
 }
 
-type occasions []occasion
-
-func (o occasions) Len() int      { return len(o) }
-func (o occasions) Swap(i, j int) { o[i], o[j] = o[j], o[i] }
-func (o occasions) Less(i, j int) bool {
-	if x := o[i].at.Compare(o[j].at); x != 0 {
-		return x < 0
-	}
-	return o[i].seq < o[j].seq
-}
-func (o *occasions) Push(x any) { *o = append(*o, x.(occasion)) }
-func (o *occasions) Pop() any {
-	old := *o
-	x := old[len(old)-1]
-	old[len(old)-1] = occasion{}
-	*o = old[:len(old)-1]
-	return x
-}
-
 const (
 	schedulePage  = 100                    // records read at a time
 	scheduleGap   = 100 * time.Millisecond // between pages: what else a new leader has to do goes first
@@ -191,13 +167,12 @@
 		at = s.notBefore
 	}
 	sch := &c.lead.sched
-	sch.seq++
 	if !at.After(c.wall()) {
 		c.isReady(s, o)
 		return
 	}
-	heap.Push(&sch.later, occasion{at, sch.seq, s, s.gen})
-	if d := at.Sub(c.wall()); d < 500*time.Millisecond {
+	sch.later.push(at, place{s, s.gen})
+	if d := at.Sub(c.wall()); d < tickEvery {
 		c.whenLeading(d, c.dueSchedules)
 	}
 }
@@ -210,8 +185,8 @@
 	if !at.After(c.wall()) {
 		at = o.Start.Add(undatedBehind)
 	}
-	heap.Push(&sch.ready, occasion{at, sch.seq, s, s.gen})
-	if len(sch.ready) == 1 {
+	sch.ready.push(at, place{s, s.gen})
+	if sch.ready.len() == 1 {
 		c.nudge()
 	}
 }
@@ -221,14 +196,14 @@
 func (c *Core) dueSchedules() {
 	sch := &c.lead.sched
 	now := c.wall()
-	for n := 0; len(sch.later) > 0; {
-		top := sch.later[0]
+	for n := 0; sch.later.len() > 0; {
+		at, top := sch.later.first()
 		if top.gen != top.s.gen {
-			heap.Pop(&sch.later)
+			sch.later.pop()
 			continue
 		}
-		if d := top.at.Sub(now); d > 0 {
-			if d < 500*time.Millisecond {
+		if d := at.Sub(now); d > 0 {
+			if d < tickEvery {
 				c.whenLeading(d, c.dueSchedules)
 			}
 			return
@@ -237,7 +212,7 @@
 			c.whenLeading(10*time.Millisecond, c.dueSchedules)
 			return
 		}
-		heap.Pop(&sch.later)
+		sch.later.pop()
 		if o, ok := top.s.def.Timing.Next(top.s.rec.Cursor); ok {
 			c.isReady(top.s, o)
 		}
@@ -249,15 +224,15 @@
 // what is known when it goes.
 func (c *Core) makeOccurrences() {
 	sch := &c.lead.sched
-	if len(sch.ready) == 0 || len(c.lead.rent.flavors) == 0 || !c.acts() {
+	if sch.ready.len() == 0 || len(c.lead.rent.flavors) == 0 || !c.acts() {
 		return
 	}
 	room := c.cfg.Settings.State.TxnOps
 	for _, ch := range c.lead.pipe.waits[due] {
 		room -= len(ch.writes)
 	}
-	for room >= 2 && len(sch.ready) > 0 {
-		o := heap.Pop(&sch.ready).(occasion)
+	for room >= 2 && sch.ready.len() > 0 {
+		o := sch.ready.pop()
 		if o.gen == o.s.gen {
 			c.decide(o.s)
 			room -= 2
@@ -268,7 +243,7 @@
 // occurrencesWait reports whether some could be made if the allowance let them.
 func (c *Core) occurrencesWait() bool {
 	l := c.lead
-	return len(l.pipe.waits[due]) > 0 || len(l.sched.ready) > 0 && len(l.rent.flavors) > 0
+	return len(l.pipe.waits[due]) > 0 || l.sched.ready.len() > 0 && len(l.rent.flavors) > 0
 }
 
 type passed struct {
@@ -369,120 +344,6 @@
 	})
 }
 
-// writeSchedule writes a record as apply changes it, with the job of an
-// occurrence if there is one. taken is called when the job's id has a record
-// already.
-func (c *Core) writeSchedule(s *scheduled, ln lane, apply func(r *schedule.Record), job *JobRecord, done, taken func()) {
-	s.busy = true
-	s.gen++
-	ch := &change{lane: ln}
-	c.compose(s, ch, apply, job, done, taken)
-	c.lead.pipe.add(ch)
-}
-
-// compose fills in a change of a schedule's record.
-func (c *Core) compose(s *scheduled, ch *change, apply func(r *schedule.Record), job *JobRecord, done, taken func()) {
-	key := scheduleKeys + s.name
-	// Times are fixed here: what is applied to memory is what was written.
-	rec := s.rec.Clone()
-	apply(rec)
-	rec.Seq++
-	ch.size = rec.Size()
-	ch.when = []Cond{{key, s.rev}}
-	ch.writes = []Write{{Key: key, Value: rec}}
-	if job != nil {
-		id := job.Spec.ID
-		ch.size += recordSize(&job.Spec)
-		ch.when = append(ch.when, Cond{jobKeys + id, 0}, Cond{finalKeys + id, 0})
-		ch.writes = append(ch.writes, Write{Key: jobKeys + id, Value: job})
-	}
-	ch.done = func(rev uint64) {
-		// News of jobs that came meanwhile are in memory only, and go next. The
-		// record that was written stays as it is.
-		rec := rec.Clone()
-		rec.Follow(s.rec)
-		s.rec, s.rev = rec, rev
-		c.written(s, done)
-	}
-	ch.failed = func() {
-		// A condition did not hold. Ours to write: either an earlier try of this
-		// very change has been applied, or a job has the id.
-		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
-			switch {
-			case found == nil:
-				s.reply(c, noSchedule(s.name))
-				c.forgetSchedule(s)
-			case found.Seq == rec.Seq:
-				ch.done(rev)
-			case rev != s.rev:
-				s.rev = rev
-				ch.when[0].Rev = rev
-				c.lead.pipe.add(ch)
-			case taken != nil:
-				c.written(s, taken)
-			default:
-				c.lead.pipe.add(ch)
-			}
-		})
-	}
-	ch.rejected = func() {
-		s.def, s.problem = nil, "the state service rejects its record"
-		s.reply(c, unavailable(s.problem))
-		c.written(s, func() {})
-	}
-}
-
-// readSchedule reads a record back until the state service answers.
-func (c *Core) readSchedule(s *scheduled, f func(found *schedule.Record, rev uint64)) {
-	c.leaderStore(StoreCall{Op: StoreGet, Key: scheduleKeys + s.name}, func(r StoreReply) {
-		switch r.Outcome {
-		case OK:
-			if rec, _ := r.Entries[0].Value.(*schedule.Record); rec != nil {
-				f(rec, r.Entries[0].Rev)
-				return
-			}
-			c.note(slog.LevelError, "record is unreadable", "key", scheduleKeys+s.name)
-		case Missing:
-			f(nil, 0)
-			return
-		}
-		c.whenLeading(c.jitter(time.Second), func() { c.readSchedule(s, f) })
-	})
-}
-
-// written follows a write: what waited for it goes on.
-func (c *Core) written(s *scheduled, then func()) {
-	s.busy = false
-	then()
-	for !s.busy && len(s.waiting) > 0 {
-		call := s.waiting[0]
-		s.waiting = slices.Delete(s.waiting, 0, 1)
-		c.serveSchedule(call)
-	}
-	if s.busy || s.gone {
-		return
-	}
-	if s.dirty {
-		c.flushSchedule(s)
-	}
-	c.plan(s)
-}
-
-func (c *Core) forgetSchedule(s *scheduled) {
-	sch := &c.lead.sched
-	s.gone = true
-	s.gen++
-	if sch.byName[s.name] == s {
-		delete(sch.byName, s.name)
-		if i, found := slices.BinarySearch(sch.names, s.name); found {
-			sch.names = slices.Delete(sch.names, i, i+1)
-		}
-	}
-	c.written(s, func() {})
-}
-
-// ---- what becomes of occurrences
-
 // watchDeadline notes when an occurrence's deadline passes before its job is
 // over.
 func (c *Core) watchDeadline(s *scheduled, j *job, due time.Time) {
@@ -598,352 +459,3 @@
 		c.whenLeading(resolveEvery, c.resolveNext)
 	})
 }
-
-// ---- what users ask
-
-// reply answers whoever waits for the write on its way.
-func (s *scheduled) reply(c *Core, a AnswerUser) {
-	if s.asker != nil {
-		c.answer(*s.asker, a)
-		s.asker = nil
-	}
-}
-
-// answerSchedules answers everybody who waits for a write of a schedule.
-func (c *Core) answerSchedules(l *leadership, a AnswerUser) {
-	for _, s := range l.sched.byName {
-		s.reply(c, a)
-		for _, call := range s.waiting {
-			c.answer(call, a)
-		}
-		s.waiting = nil
-	}
-}
-
-func noSchedule(name string) AnswerUser {
-	return AnswerUser{Status: 404, Field: "name", Reason: "no schedule " + name}
-}
-
-// serveSchedule answers as the leader.
-func (c *Core) serveSchedule(call UserCall) {
-	sch, q := &c.lead.sched, call.Schedule
-	if !sch.loaded {
-		c.answer(call, unavailable("the schedules are being read"))
-		return
-	}
-	if call.Op == OpScheduleList {
-		c.answer(call, AnswerUser{Status: 200, Doc: c.listSchedules(q)})
-		return
-	}
-	s := sch.byName[q.Name]
-	if s == nil {
-		if call.Op == OpSchedulePut {
-			c.putSchedule(nil, call)
-		} else {
-			c.answer(call, noSchedule(q.Name))
-		}
-		return
-	}
-	reads := call.Op == OpScheduleGet || call.Op == OpScheduleUpcoming || call.Op == OpScheduleHistory
-	if s.busy && (!reads || s.rec == nil) {
-		if len(s.waiting) >= waitingMost || s.rec == nil {
-			c.answer(call, unavailable("the schedule is being changed"))
-			return
-		}
-		s.waiting = append(s.waiting, call)
-		return
-	}
-	if !reads && q.IfMatch != "" && q.IfMatch != s.rec.ETag() {
-		reason := "the schedule has changed since it was read; its ETag is " + s.rec.ETag()
-		if q.IfMatch == NewOnly {
-			reason = "there is a schedule of this name"
-		}
-		c.answer(call, AnswerUser{Status: 412, Field: "name", Reason: reason})
-		return
-	}
-	switch call.Op {
-	case OpSchedulePut:
-		c.putSchedule(s, call)
-	case OpScheduleGet:
-		c.answer(call, c.viewOf(s, 200))
-	case OpScheduleUpcoming:
-		doc := schedule.Coming{Upcoming: []schedule.Upcoming{}}
-		for cursor := s.rec.Cursor; s.def != nil && !s.rec.Paused && len(doc.Upcoming) < q.Count; {
-			o, ok := s.def.Timing.Next(cursor)
-			if !ok {
-				break
-			}
-			doc.Upcoming = append(doc.Upcoming, *s.def.Tell(s.rec.Number, o))
-			cursor = o.Nominal
-		}
-		c.answer(call, AnswerUser{Status: 200, Doc: doc})
-	case OpScheduleHistory:
-		zone := time.UTC
-		if s.def != nil {
-			zone = s.def.Timing.Zone()
-		}
-		c.answer(call, AnswerUser{Status: 200, Doc: s.rec.Told(zone)})
-	case OpScheduleDelete:
-		c.deleteSchedule(s, call)
-	case OpSchedulePause, OpScheduleResume:
-		c.pauseSchedule(s, call)
-	case OpScheduleRun:
-		if s.def == nil {
-			c.answer(call, AnswerUser{Status: 422, Reason: s.problem})
-			return
-		}
-		job := s.def.Template()
-		job.ID = schedule.RequestID(s.rec.Number, q.Request)
-		if by := s.def.Timing.DueAfter(c.wall()); !by.IsZero() {
-			job.Due, job.Dated = by.Sub(c.wall()), true
-		}
-		c.serve(UserCall{Ref: call.Ref, From: call.From, Op: OpSubmit, ID: job.ID, Spec: &job})
-	}
-}
-
-// NewOnly as an ETag stands for a schedule that is not there yet.
-const NewOnly = "new"
-
-func (c *Core) viewOf(s *scheduled, status int) AnswerUser {
-	v := schedule.View{Schedule: s.rec.File, Number: s.rec.Number, ETag: s.rec.ETag(), Paused: s.rec.Paused, Problem: s.problem,
-		Next: s.comes(), Made: s.rec.Made, Missed: s.rec.Missed, Late: s.rec.Late}
-	return AnswerUser{Status: status, Doc: v, ETag: v.ETag}
-}
-
-// comes returns the next occurrence as users see it, or nil.
-func (s *scheduled) comes() *schedule.Upcoming {
-	if s.def == nil || s.rec.Paused {
-		return nil
-	}
-	o, ok := s.def.Timing.Next(s.rec.Cursor)
-	if !ok {
-		return nil
-	}
-	return s.def.Tell(s.rec.Number, o)
-}
-
-func (c *Core) listSchedules(q *ScheduleCall) schedule.Page {
-	sch := &c.lead.sched
-	page := schedule.Page{Schedules: []schedule.Brief{}}
-	i, found := slices.BinarySearch(sch.names, q.After)
-	if found {
-		i++
-	}
-	for size := 0; i < len(sch.names); i++ {
-		s := sch.byName[sch.names[i]]
-		var f schedule.File
-		if s.rec == nil || json.Unmarshal(s.rec.File, &f) != nil {
-			continue
-		}
-		size += 400 + 6*len(f.Rule) + len(f.Calendar) + len(f.Zone) + len(s.problem)
-		if len(page.Schedules) == q.Count || size > pageBytes && len(page.Schedules) > 0 {
-			page.Truncated = true
-			break
-		}
-		page.Schedules = append(page.Schedules, schedule.Brief{Name: s.name, Zone: f.Zone, Rule: f.Rule, Calendar: f.Calendar, Paused: s.rec.Paused,
-			Problem: s.problem, Next: s.comes(), Made: s.rec.Made, Missed: s.rec.Missed, Late: s.rec.Late})
-	}
-	return page
-}
-
-// putSchedule creates a schedule or replaces the definition of one.
-func (c *Core) putSchedule(s *scheduled, call UserCall) {
-	l, q := c.lead, call.Schedule
-	if q.File == nil { // from a peer of another version
-		c.answer(call, AnswerUser{Status: 400, Field: "name", Reason: "no schedule in the request"})
-		return
-	}
-	def, err := q.File.Compile(c.cal)
-	if err == nil && !def.Timing.Occurs(calendar.Wall(c.wall(), def.Timing.Zone())) {
-		err = &calendar.FieldError{Field: "rule", Reason: "never occurs from now on"}
-	}
-	if fe := (*calendar.FieldError)(nil); errors.As(err, &fe) {
-		c.answer(call, AnswerUser{Status: 400, Field: fe.Field, Reason: fe.Error()})
-		return
-	}
-	file, err := json.Marshal(q.File)
-	rec := &schedule.Record{File: file, Edition: 1}
-	if err != nil || float64(rec.Size()) > c.cfg.Settings.State.ValueKB*1024 {
-		c.answer(call, AnswerUser{Status: 400, Field: "at", Reason: "at, rule or job: the description is too long"})
-		return
-	}
-	if len(l.rent.flavors) == 0 {
-		c.answer(call, unavailable("the machine types are not known yet"))
-		return
-	}
-	job := def.Template()
-	if reason := c.neverRuns(&job); reason != "" {
-		c.answer(call, AnswerUser{Status: 422, Field: "job", Reason: "job: " + reason})
-		return
-	}
-	if float64(recordSize(&job)) > c.cfg.Settings.State.ValueKB*1024 {
-		c.answer(call, AnswerUser{Status: 400, Field: "job.flavors", Reason: "job.flavors: the description is too long"})
-		return
-	}
-	if s != nil {
-		cursor, missed := def.Edited(s.def, s.rec.Cursor, c.wall())
-		s.asker = &call
-		c.writeSchedule(s, urgent, func(r *schedule.Record) {
-			r.File = file
-			r.Edition++
-			r.Pass(missed, "the schedule was edited")
-			r.Cursor = cursor
-		}, nil, func() {
-			s.def, s.problem, s.held = def, "", false
-			c.note(slog.LevelInfo, "schedule edited", "schedule", s.name, "edition", s.rec.Edition)
-			s.reply(c, c.viewOf(s, 200))
-		}, nil)
-		return
-	}
-	if q.IfMatch != "" && q.IfMatch != NewOnly {
-		c.answer(call, AnswerUser{Status: 412, Field: "name", Reason: "there is no schedule of this name"})
-		return
-	}
-	s = &scheduled{name: q.Name, busy: true, asker: &call}
-	l.sched.byName[s.name] = s
-	c.number(func(n uint64, ok bool) {
-		if !ok {
-			delete(l.sched.byName, s.name)
-			s.reply(c, unavailable("the state service does not answer"))
-			return
-		}
-		rec.Number, rec.Cursor = n, def.From(c.wall())
-		c.createSchedule(s, rec)
-	})
-}
-
-// createSchedule writes the first record of a schedule.
-func (c *Core) createSchedule(s *scheduled, rec *schedule.Record) {
-	key := scheduleKeys + s.name
-	made := func(rec *schedule.Record, rev uint64) {
-		s.rec, s.rev = rec, rev
-		c.addSchedule(s)
-		c.written(s, func() { s.reply(c, c.viewOf(s, 201)) })
-	}
-	ch := &change{size: rec.Size(), when: []Cond{{key, 0}}, writes: []Write{{Key: key, Value: rec}}}
-	ch.done = func(rev uint64) {
-		c.note(slog.LevelInfo, "schedule created", "schedule", s.name, "number", rec.Number)
-		made(rec, rev)
-	}
-	ch.failed = func() { // a try of ours whose outcome was not known
-		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
-			if found == nil {
-				c.lead.pipe.add(ch)
-				return
-			}
-			made(found, rev)
-		})
-	}
-	ch.rejected = func() {
-		delete(c.lead.sched.byName, s.name)
-		s.reply(c, AnswerUser{Status: 400, Field: "name", Reason: "the state service rejects the record"})
-	}
-	c.lead.pipe.add(ch)
-}
-
-// number has f called with a number that no schedule ever had. Numbers are taken
-// from the state service in blocks; what is left of a block when a leader ends
-// is not used.
-func (c *Core) number(f func(n uint64, ok bool)) {
-	sch := &c.lead.sched
-	sch.numbers = append(sch.numbers, f)
-	c.handOutNumbers()
-}
-
-func (c *Core) handOutNumbers() {
-	sch := &c.lead.sched
-	for len(sch.numbers) > 0 && sch.next < sch.last {
-		f := sch.numbers[0]
-		sch.numbers = slices.Delete(sch.numbers, 0, 1)
-		sch.next++
-		f(sch.next, true)
-	}
-	if len(sch.numbers) == 0 || sch.numbering {
-		return
-	}
-	sch.numbering = true
-	fail := func() {
-		sch.numbering = false
-		fs := sch.numbers
-		sch.numbers = nil
-		for _, f := range fs {
-			f(0, false)
-		}
-	}
-	c.leaderStore(StoreCall{Op: StoreGet, Key: numberKey}, func(r StoreReply) {
-		var from, rev uint64
-		if r.Outcome == OK {
-			rec, _ := r.Entries[0].Value.(*NumberRecord)
-			if rec == nil || rec.Number+numberBlock > schedule.MaxNumber {
-				c.note(slog.LevelError, "no numbers for schedules are left", "key", numberKey)
-				fail()
-				return
-			}
-			from, rev = rec.Number, r.Entries[0].Rev
-		} else if r.Outcome != Missing {
-			fail()
-			return
-		}
-		c.lead.pipe.add(&change{
-			when: []Cond{{numberKey, rev}}, writes: []Write{{Key: numberKey, Value: &NumberRecord{from + numberBlock}}},
-			done: func(uint64) {
-				sch.next, sch.last, sch.numbering = from, from+numberBlock, false
-				c.handOutNumbers()
-			},
-			failed: func() { // a try of ours was applied: take the next block
-				sch.numbering = false
-				c.handOutNumbers()
-			},
-			rejected: fail,
-		})
-	})
-}
-
-func (c *Core) deleteSchedule(s *scheduled, call UserCall) {
-	s.busy, s.asker = true, &call
-	s.gen++
-	key := scheduleKeys + s.name
-	ch := &change{when: []Cond{{key, s.rev}}, writes: []Write{{Key: key}}}
-	done := func() {
-		c.note(slog.LevelInfo, "schedule removed", "schedule", s.name)
-		s.reply(c, AnswerUser{Status: 200, Doc: map[string]string{"name": s.name, "status": "removed"}})
-		c.forgetSchedule(s)
-	}
-	ch.done = func(uint64) { done() }
-	ch.failed = func() {
-		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
-			if found == nil {
-				done()
-				return
-			}
-			ch.when[0].Rev = rev
-			c.lead.pipe.add(ch)
-		})
-	}
-	c.lead.pipe.add(ch)
-}
-
-// pauseSchedule pauses a schedule, or resumes it: what would have run meanwhile
-// does not run.
-func (c *Core) pauseSchedule(s *scheduled, call UserCall) {
-	pause := call.Op == OpSchedulePause
-	if s.rec.Paused == pause {
-		c.answer(call, c.viewOf(s, 200))
-		return
-	}
-	cursor := s.rec.Cursor
-	var missed []calendar.Occurrence
-	if !pause && s.def != nil {
-		cursor, missed = s.def.Passed(cursor, c.wall())
-	}
-	s.asker = &call
-	c.writeSchedule(s, urgent, func(r *schedule.Record) {
-		r.Paused = pause
-		r.Edition++
-		r.Pass(missed, "the schedule was paused")
-		r.Cursor = cursor
-	}, nil, func() {
-		s.held = false
-		s.reply(c, c.viewOf(s, 200))
-	}, nil)
-}
