--- a/cmd/yewpass/schedule.go
+++ b/cmd/yewpass/schedule.go
@@ -337,12 +337,12 @@
 		} else {
 			cursor := def.From(at.Add(-time.Nanosecond))
 			for range *count {
-				o, ok := def.Timing.Next(cursor)
+				o, ok := def.Next(cursor)
 				if !ok {
 					break
 				}
 				add(o)
-				cursor = o.Nominal
+				cursor = cursor.Past(o)
 			}
 		}
 		if *asJSON {
--- a/internal/calendar/timing.go
+++ b/internal/calendar/timing.go
@@ -47,6 +47,7 @@
 	// It is what a schedule remembers: whatever becomes of the zone's offsets, an
 	// occurrence that was made is not made again.
 	Nominal time.Time
+	Rule    time.Time // the latest wall-clock time of the rule that it stands for, unmoved
 	Start   time.Time // when it starts
 	Due     time.Time // when it is to be complete; zero: no deadline
 	Remark  string    // where it was moved from and why, or why it is skipped
@@ -191,6 +192,24 @@
 	return runs, rules, false
 }
 
+// latest returns the latest date of the rule that runs on a date, given one of
+// them.
+func (t *Timing) latest(runs, rules time.Time) time.Time {
+	if t.onHoliday != Next && t.onHoliday != Previous {
+		return rules
+	}
+	end := runs // of those that are moved forward none lies behind
+	if t.onHoliday == Previous {
+		if b, ok := t.calendar.onOrAfter(runs.Add(Day)); ok {
+			end = b.Add(-Day)
+		}
+	}
+	for d, ok := t.rule.Next(rules.Add(Day)); ok && !d.After(end); d, ok = t.rule.Next(d.Add(Day)) {
+		rules = d
+	}
+	return rules
+}
+
 // Next returns the first occurrence whose nominal time lies after a wall-clock
 // time; false if there is none within 50 years. Its cost does not depend on how
 // long ago the schedule began.
@@ -218,7 +237,7 @@
 }
 
 func (t *Timing) occurrence(runs, rules time.Time, at time.Duration) Occurrence {
-	o := Occurrence{Nominal: runs.Add(at)}
+	o := Occurrence{Nominal: runs.Add(at), Rule: t.latest(runs, rules).Add(at)}
 	var exists bool
 	o.Start, exists = Instant(o.Nominal, t.zone)
 	o.Due = t.DueAfter(o.Start)
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -262,7 +262,7 @@
 	file := fmt.Sprintf(`{"name":"s%05d","zone":"Europe/Sofia","rule":"FREQ=MONTHLY;BYMONTHDAY=-1","at":["%s"],"due_at":"06:00","job":{"jobclass":"c","owner":"t",
 "shape":"array","urgency":"urgent","shards":16,"vcpus":1,"gpus":0,"memGb":1,"bundle":"img","sizeGb":1,"samePlace":false,"apart":false,"reclaimable":true,
 "runtimeS":60,"snapshotEveryS":0,"snapshotS":0}}`, i, at)
-	rec := &schedule.Record{Number: uint64(i + 1), Seq: 1, File: []byte(file), Cursor: t0.UTC()}
+	rec := &schedule.Record{Number: uint64(i + 1), Seq: 1, File: []byte(file), Cursor: schedule.Cursor{Nominal: t0.UTC()}}
 	for range schedule.HistoryLength {
 		rec.Add(schedule.Entry{Job: schedule.JobID(rec.Number, t0), Planned: t0, Due: t0, Made: t0, Started: t0, Ended: t0, State: schedule.StateDone})
 	}
--- a/internal/core/schedule_users.go
+++ b/internal/core/schedule_users.go
@@ -79,12 +79,12 @@
 	case OpScheduleUpcoming:
 		doc := schedule.Coming{Upcoming: []schedule.Upcoming{}}
 		for cursor := s.rec.Cursor; s.def != nil && !s.rec.Paused && len(doc.Upcoming) < q.Count; {
-			o, ok := s.def.Timing.Next(cursor)
+			o, ok := s.def.Next(cursor)
 			if !ok {
 				break
 			}
 			doc.Upcoming = append(doc.Upcoming, *s.def.Tell(s.rec.Number, o))
-			cursor = o.Nominal
+			cursor = cursor.Past(o)
 		}
 		c.answer(call, AnswerUser{Status: 200, Doc: doc})
 	case OpScheduleHistory:
@@ -125,7 +125,7 @@
 	if s.def == nil || s.rec.Paused {
 		return nil
 	}
-	o, ok := s.def.Timing.Next(s.rec.Cursor)
+	o, ok := s.def.Next(s.rec.Cursor)
 	if !ok {
 		return nil
 	}
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -158,7 +158,7 @@
 	if s.gone || s.busy || s.held || s.rec == nil || s.rec.Paused || s.def == nil {
 		return
 	}
-	o, ok := s.def.Timing.Next(s.rec.Cursor)
+	o, ok := s.def.Next(s.rec.Cursor)
 	if !ok {
 		return
 	}
@@ -213,7 +213,7 @@
 			return
 		}
 		sch.later.pop()
-		if o, ok := top.s.def.Timing.Next(top.s.rec.Cursor); ok {
+		if o, ok := top.s.def.Next(top.s.rec.Cursor); ok {
 			c.isReady(top.s, o)
 		}
 	}
@@ -278,13 +278,13 @@
 				v = schedule.Later
 				s.notBefore = now.Add(min(max(late, time.Second), 30*time.Second))
 			} else {
-				c.makeJob(s, o, &JobRecord{Spec: job, Submitted: o.Start}, gone)
+				c.makeJob(s, cursor.Past(o), o, &JobRecord{Spec: job, Submitted: o.Start}, gone)
 				return
 			}
 		}
 		if v == schedule.Miss {
 			gone = append(gone, passed{o, schedule.StateMissed, reason})
-			cursor = o.Nominal
+			cursor = cursor.Past(o)
 			continue
 		}
 		s.held = v == schedule.Hold
@@ -298,7 +298,7 @@
 }
 
 // pass puts occurrences that do not run into a record.
-func pass(r *schedule.Record, cursor time.Time, gone []passed) {
+func pass(r *schedule.Record, cursor schedule.Cursor, gone []passed) {
 	for _, p := range gone {
 		r.Add(schedule.Entry{Job: schedule.JobID(r.Number, p.o.Nominal), Planned: p.o.Start, Due: p.o.Due, State: p.state, Reason: p.reason})
 	}
@@ -314,16 +314,16 @@
 }
 
 // passOver has it written that occurrences do not run.
-func (c *Core) passOver(s *scheduled, cursor time.Time, gone []passed) {
+func (c *Core) passOver(s *scheduled, cursor schedule.Cursor, gone []passed) {
 	c.writeSchedule(s, due, func(r *schedule.Record) { pass(r, cursor, gone) }, nil, func() { c.told(s, gone) }, nil)
 }
 
-// makeJob makes an occurrence a job.
-func (c *Core) makeJob(s *scheduled, o calendar.Occurrence, job *JobRecord, gone []passed) {
+// makeJob makes an occurrence a job; past is the cursor behind it.
+func (c *Core) makeJob(s *scheduled, past schedule.Cursor, o calendar.Occurrence, job *JobRecord, gone []passed) {
 	id := job.Spec.ID
 	s.notBefore = time.Time{}
 	c.writeSchedule(s, due, func(r *schedule.Record) {
-		pass(r, o.Nominal, gone)
+		pass(r, past, gone)
 		r.LastJob = id
 		r.Add(schedule.Entry{Job: id, Planned: o.Start, Due: o.Due, Made: c.wall(), State: schedule.StateMade})
 	}, job, func() {
@@ -340,7 +340,7 @@
 		c.watchDeadline(s, j, o.Due)
 	}, func() {
 		c.note(slog.LevelError, "occurrence failed, its job id is taken", "schedule", s.name, "planned", o.Start, "job", id)
-		c.passOver(s, o.Nominal, append(gone, passed{o, schedule.StateFailed, "job id " + id + " is taken"}))
+		c.passOver(s, past, append(gone, passed{o, schedule.StateFailed, "job id " + id + " is taken"}))
 	})
 }
 
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -18,17 +18,44 @@
 	Hold                 // it waits for the job before
 )
 
+// Cursor is up to where a schedule's occurrences have been decided.
+type Cursor struct {
+	Nominal time.Time // of the last that was
+	// Rule is the latest wall-clock time of the rule that has been, unmoved. A date
+	// that ran ahead of a holiday does not run again when the holiday is taken
+	// away, or when an edit lets it run on holidays.
+	Rule time.Time
+}
+
+// Past returns the cursor when an occurrence has been decided.
+func (c Cursor) Past(o calendar.Occurrence) Cursor {
+	c.Nominal = o.Nominal
+	if o.Rule.After(c.Rule) {
+		c.Rule = o.Rule
+	}
+	return c
+}
+
+// Next returns the first occurrence that has not been decided; false if there is
+// none.
+func (d *Def) Next(c Cursor) (calendar.Occurrence, bool) {
+	o, ok := d.Timing.Next(c.Nominal)
+	for ok && !o.Rule.After(c.Rule) {
+		o, ok = d.Timing.Next(o.Nominal)
+	}
+	return o, ok
+}
+
 // Before is what is known of the occurrence before.
 type Before struct {
 	Live  bool      // its job is not over
 	Ended time.Time // when it was over; zero: unknown, or there was none
 }
 
-// Decide says what is to become of the first occurrence after the cursor, which
-// is the nominal time of the last one that was decided, and why if it is missed.
-// now is the time of day.
-func (d *Def) Decide(cursor, now time.Time, before Before) (o calendar.Occurrence, v Verdict, reason string) {
-	o, ok := d.Timing.Next(cursor)
+// Decide says what is to become of the first occurrence after the cursor, and why
+// if it is missed. now is the time of day.
+func (d *Def) Decide(cursor Cursor, now time.Time, before Before) (o calendar.Occurrence, v Verdict, reason string) {
+	o, ok := d.Next(cursor)
 	switch {
 	case !ok:
 		return o, Never, ""
@@ -56,7 +83,7 @@
 	case late > d.Within:
 		return o, Miss, "could not be made within catch_up_within_s"
 	case d.CatchUp == Latest:
-		if next, ok := d.Timing.Next(o.Nominal); ok && !next.Start.After(now) {
+		if next, ok := d.Next(cursor.Past(o)); ok && !next.Start.After(now) {
 			return o, Miss, "a later one was due as well"
 		}
 	}
@@ -65,41 +92,41 @@
 
 // From returns the cursor of a schedule that begins now: no occurrence that
 // starts at or before now is owed.
-func (d *Def) From(now time.Time) time.Time {
+func (d *Def) From(now time.Time) Cursor {
 	cursor := calendar.Wall(now, d.Timing.Zone())
 	// Of the hour that autumn repeats only the first passing counts: on the second
 	// the clock shows times whose occurrence has been.
 	for o, ok := d.Timing.Next(cursor); ok && !o.Start.After(now); o, ok = d.Timing.Next(cursor) {
 		cursor = o.Nominal
 	}
-	return cursor
+	return Cursor{Nominal: cursor}
 }
 
 // Edited returns the cursor of a schedule that had the definition old. What was
 // made is not made again. What was due and not made yet is still made if the new
 // definition has it too; otherwise it is missed, and missed names it.
-func (d *Def) Edited(old *Def, cursor, now time.Time) (next time.Time, missed []calendar.Occurrence) {
+func (d *Def) Edited(old *Def, cursor Cursor, now time.Time) (next Cursor, missed []calendar.Occurrence) {
 	if old == nil || d.Timing.Same(old.Timing) {
 		return cursor, nil
 	}
 	for c := cursor; len(missed) < maxOwed; {
-		o, ok := old.Timing.Next(c)
+		o, ok := old.Next(c)
 		if !ok || o.Start.After(now) {
 			break
 		}
 		if d.Timing.Zone().String() == old.Timing.Zone().String() && d.Timing.Has(o.Nominal) {
 			// Not from the cursor: between it and this one the new definition may
 			// have what the old one never had, and that is not owed.
-			if before := o.Nominal.Add(-time.Second); before.After(c) {
-				c = before
+			if before := o.Nominal.Add(-time.Second); before.After(c.Nominal) {
+				c.Nominal = before
 			}
-			return c, missed
+			return Cursor{c.Nominal, cursor.Rule}, missed
 		}
 		missed = append(missed, o)
-		c = o.Nominal
+		c = c.Past(o)
 	}
-	next = d.From(now)
-	if cursor.After(next) {
+	next = Cursor{d.From(now).Nominal, cursor.Rule}
+	if cursor.Nominal.After(next.Nominal) {
 		next = cursor // a zone further west: its clocks have yet to show what was made
 	}
 	return next, missed
@@ -110,14 +137,14 @@
 
 // Passed returns the cursor after everything that is due, and the latest of what
 // it passes over.
-func (d *Def) Passed(cursor, now time.Time) (next time.Time, missed []calendar.Occurrence) {
+func (d *Def) Passed(cursor Cursor, now time.Time) (next Cursor, missed []calendar.Occurrence) {
 	for len(missed) < maxOwed {
-		o, ok := d.Timing.Next(cursor)
+		o, ok := d.Next(cursor)
 		if !ok || o.Start.After(now) {
 			return cursor, missed
 		}
 		missed = append(missed, o)
-		cursor = o.Nominal
+		cursor = cursor.Past(o)
 	}
-	return d.From(now), missed
+	return Cursor{d.From(now).Nominal, cursor.Rule}, missed
 }
--- a/internal/schedule/record.go
+++ b/internal/schedule/record.go
@@ -20,8 +20,8 @@
 	Edition uint64          // counts what users changed
 	File    json.RawMessage // the definition
 	Paused  bool
-	Cursor  time.Time // nominal time up to which every occurrence has been decided
-	LastJob string    // of the last occurrence that became a job
+	Cursor  Cursor // up to it every occurrence has been decided
+	LastJob string // of the last occurrence that became a job
 	Made    int64
 	Missed  int64
 	Late    int64
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -153,7 +153,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		o, v, reason := d.Decide(cursor, due.Add(c.late), c.before)
+		o, v, reason := d.Decide(Cursor{Nominal: cursor}, due.Add(c.late), c.before)
 		if v != c.want || !strings.Contains(reason, c.reason) || !o.Start.Equal(due) {
 			t.Errorf("%s: %v %v %q", c.name, o.Start, v, reason)
 		}
@@ -187,14 +187,39 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		next, missed := d.Edited(old, c.cursor, now)
-		o, _ := d.Timing.Next(next)
+		next, missed := d.Edited(old, Cursor{Nominal: c.cursor}, now)
+		o, _ := d.Next(next)
 		if !o.Nominal.Equal(at(c.next)) || len(missed) != c.missed {
 			t.Errorf("%v: next is %s with %d missed, want %s with %d", c.edits, o.Nominal, len(missed), c.next, c.missed)
 		}
 	}
 }
 
+// TestMovedOnce: a date that ran on another day than its own does not run again
+// on its own, whether an edit or the operators' calendar lets it.
+func TestMovedOnce(t *testing.T) {
+	previous, err := compile(t, `"FREQ=DAILY"`, `"FREQ=WEEKLY;BYDAY=FR,SU"`, `"run"`, `"previous"`, `"03:30", "04:30"`, `"03:30"`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cursor := previous.From(at("2027-02-04T10:00:00Z")) // a Thursday
+	o, _ := previous.Next(cursor)
+	if !o.Nominal.Equal(at("2027-02-05T03:30:00Z")) || !o.Rule.Equal(at("2027-02-07T03:30:00Z")) {
+		t.Fatalf("Friday, and Sunday with it: %+v", o)
+	}
+	cursor = cursor.Past(o)
+	run, err := compile(t, `"FREQ=DAILY"`, `"FREQ=WEEKLY;BYDAY=FR,SU"`, `"03:30", "04:30"`, `"03:30"`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, missed := run.Edited(previous, cursor, at("2027-02-05T12:00:00Z"))
+	for _, c := range []Cursor{cursor, next} { // the calendar has changed; the schedule has
+		if o, _ := run.Next(c); !o.Nominal.Equal(at("2027-02-12T03:30:00Z")) || len(missed) > 0 {
+			t.Errorf("next is %s, want the Friday after", o.Nominal)
+		}
+	}
+}
+
 // TestFrom: a schedule that begins owes nothing of the past, not even in the
 // second passing of the autumn hour, where the clock shows times that have been.
 func TestFrom(t *testing.T) {
@@ -206,7 +231,7 @@
 		"2027-10-31T00:29:00Z": "2027-10-31T00:30:00Z", "2027-10-31T01:20:00Z": "2027-10-31T02:30:00Z", // 03:20 for the second time
 		"2027-03-28T01:00:00Z": "2027-03-28T01:30:00Z", "2027-02-02T01:30:00Z": "2027-02-02T02:30:00Z",
 	} {
-		if o, _ := d.Timing.Next(d.From(at(now))); !o.Start.Equal(at(want)) {
+		if o, _ := d.Next(d.From(at(now))); !o.Start.Equal(at(want)) {
 			t.Errorf("from %s the first starts at %s, want %s", now, o.Start, want)
 		}
 	}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -246,6 +246,7 @@
 	File    json.RawMessage `json:"file"`
 	Paused  bool            `json:"paused,omitempty"`
 	Cursor  int64           `json:"cursorMs"`
+	Rule    int64           `json:"ruleMs,omitempty"`
 	LastJob string          `json:"lastJob,omitempty"`
 	Made    int64           `json:"made,omitempty"`
 	Missed  int64           `json:"missed,omitempty"`
@@ -274,11 +275,11 @@
 }
 
 func encodeSchedule(r *schedule.Record) scheduleJSON {
-	return scheduleJSON{"schedule", r.Number, r.Seq, r.Edition, r.File, r.Paused, toMS(r.Cursor), r.LastJob, r.Made, r.Missed, r.Late, r.Past}
+	return scheduleJSON{"schedule", r.Number, r.Seq, r.Edition, r.File, r.Paused, toMS(r.Cursor.Nominal), toMS(r.Cursor.Rule), r.LastJob, r.Made, r.Missed, r.Late, r.Past}
 }
 
 func (j *scheduleJSON) decode() (*schedule.Record, bool) {
-	r := &schedule.Record{Number: j.Number, Seq: j.Seq, Edition: j.Edition, File: j.File, Paused: j.Paused, Cursor: fromMS(j.Cursor),
+	r := &schedule.Record{Number: j.Number, Seq: j.Seq, Edition: j.Edition, File: j.File, Paused: j.Paused, Cursor: schedule.Cursor{Nominal: fromMS(j.Cursor), Rule: fromMS(j.Rule)},
 		LastJob: j.LastJob, Made: j.Made, Missed: j.Missed, Late: j.Late, Past: j.Past}
 	_, ok := r.Entries()
 	return r, ok && j.Number > 0 && len(j.File) > 0
--- a/internal/state/client_test.go
+++ b/internal/state/client_test.go
@@ -59,7 +59,7 @@
 	if !ok || out.Spec.Runtime != in.Spec.Runtime || out.Spec.Flavors[0] != "f" || !out.Cancelled || !out.Submitted.Equal(in.Submitted) || !out.Spec.Dated {
 		t.Errorf("%+v", out)
 	}
-	rec := &schedule.Record{Number: 7, Seq: 3, Edition: 2, File: json.RawMessage(`{"name":"n"}`), Paused: true, Cursor: time.UnixMilli(60000).UTC(), LastJob: "wk-2"}
+	rec := &schedule.Record{Number: 7, Seq: 3, Edition: 2, File: json.RawMessage(`{"name":"n"}`), Paused: true, Cursor: schedule.Cursor{Nominal: time.UnixMilli(60000).UTC(), Rule: time.UnixMilli(90000).UTC()}, LastJob: "wk-2"}
 	rec.Add(schedule.Entry{Job: "wk-2", Planned: time.UnixMilli(5000).UTC(), State: schedule.StateMade})
 	if data, err = json.Marshal(encodeValue(rec)); err != nil {
 		t.Fatal(err)
