Jobs of schedule run are in the history; a repeated PUT of the same is no conflict

Need: who adds a schedule, loses the answer and asks again got 412 for what had succeeded; jobs that were asked for left no trace in the history. Change: a PUT of the definition that is there answers 200 and changes nothing; a job of run is noted, after any write that is on its way.

--- a/internal/core/schedule_users.go
+++ b/internal/core/schedule_users.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"log/slog"
@@ -55,6 +56,11 @@
 		return
 	}
 	reads := call.Op == OpScheduleGet || call.Op == OpScheduleUpcoming || call.Op == OpScheduleHistory
+	if call.Op == OpSchedulePut && !s.busy && s.def != nil && q.File != nil && s.says(q.File) {
+		// Asked again, perhaps because the answer was lost: it is as it was asked for.
+		c.answer(call, c.viewOf(s, 200))
+		return
+	}
 	if s.busy && (!reads || s.rec == nil) {
 		if len(s.waiting) >= waitingMost || s.rec == nil {
 			c.answer(call, unavailable("the schedule is being changed"))
@@ -107,10 +113,20 @@
 		if by := s.def.Timing.DueAfter(c.wall()); !by.IsZero() {
 			job.Due, job.Dated = by.Sub(c.wall()), true
 		}
+		if len(c.lead.sched.runs) >= runsMost { // refused ones, of which nobody has asked again
+			clear(c.lead.sched.runs)
+		}
+		c.lead.sched.runs[job.ID] = s
 		c.serve(UserCall{Ref: call.Ref, From: call.From, Op: OpSubmit, ID: job.ID, Spec: &job})
 	}
 }
 
+// says reports whether the schedule has this definition already.
+func (s *scheduled) says(f *schedule.File) bool {
+	data, err := json.Marshal(f)
+	return err == nil && bytes.Equal(data, s.rec.File)
+}
+
 // NewOnly as an ETag stands for a schedule that is not there yet.
 const NewOnly = "new"
 
--- a/internal/core/schedule_write.go
+++ b/internal/core/schedule_write.go
@@ -101,6 +101,7 @@
 	if s.busy || s.gone {
 		return
 	}
+	c.takeNotes(s)
 	if s.dirty {
 		c.flushSchedule(s)
 	}
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -23,6 +23,7 @@
 	later byTime[place] // schedules by when their next occurrence is due
 	ready byTime[place] // those that are due, by deadline
 
+	runs       map[string]*scheduled     // whose job each request to run makes
 	numbers    []func(n uint64, ok bool) // who waits for a number
 	next, last uint64                    // numbers at hand: next to last
 	numbering  bool
@@ -31,7 +32,9 @@
 	made, missed, late int64 // by this leader
 }
 
-func newSchedules() schedules { return schedules{byName: map[string]*scheduled{}} }
+func newSchedules() schedules {
+	return schedules{byName: map[string]*scheduled{}, runs: map[string]*scheduled{}}
+}
 
 type occurrenceOf struct {
 	s   *scheduled
@@ -55,7 +58,8 @@
 	held      bool      // waits for the job before
 	notBefore time.Time // it was refused for now
 
-	dirty    bool // its history has news
+	notes    []schedule.Entry // jobs that were asked for while a write was on its way
+	dirty    bool             // its history has news
 	flushing bool
 }
 
@@ -73,6 +77,7 @@
 	decideAtOnce  = 256                    // occurrences decided in one step
 	numberBlock   = 50                     // numbers taken from the state service at a time
 	waitingMost   = 8                      // users who wait for a schedule
+	runsMost      = 256                    // requests to run whose jobs are not accepted yet
 	historyAfter  = 2 * time.Second
 	resolveEvery  = 50 * time.Millisecond
 	pageBytes     = 48 << 10 // a line of an answer is below 64 KiB
@@ -361,6 +366,38 @@
 	})
 }
 
+// ranNow puts a job that was asked for into its schedule's history.
+func (c *Core) ranNow(s *scheduled, j *job) {
+	delete(c.lead.sched.runs, j.spec.ID)
+	if s.gone {
+		return
+	}
+	e := schedule.Entry{Job: j.spec.ID, Planned: c.wall(), Made: c.wall(), State: schedule.StateMade}
+	if j.spec.Dated {
+		e.Due = e.Made.Add(j.spec.Due)
+	}
+	j.sched = s
+	s.notes = append(s.notes, e)
+	if !s.busy {
+		c.takeNotes(s)
+	}
+}
+
+// takeNotes takes up what could not be while a write was on its way: the record
+// that was written would have replaced it.
+func (c *Core) takeNotes(s *scheduled) {
+	for _, e := range s.notes {
+		s.rec.Note(e)
+		if j := c.lead.jobs[e.Job]; j != nil {
+			c.watchDeadline(s, j, e.Due)
+		} else if f, ok := c.final.Get(e.Job); ok { // over already
+			c.occurrenceOver(s, e.Job, f.State, c.wall())
+		}
+		c.flushSchedule(s)
+	}
+	s.notes = nil
+}
+
 func (c *Core) wasLate(s *scheduled, e schedule.Entry) {
 	s.rec.Update(e.Job, func(e *schedule.Entry) { e.Late = true })
 	s.rec.Late++
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -296,6 +296,9 @@
 // newJob takes on a job whose record has just been committed.
 func (c *Core) newJob(rec *JobRecord) *job {
 	j := c.addJob(rec, false)
+	if s := c.lead.sched.runs[rec.Spec.ID]; s != nil {
+		c.ranNow(s, j)
+	}
 	c.arrived(j)
 	c.preferLocal(j)
 	c.jobLoaded(j)
--- a/internal/schedule/record.go
+++ b/internal/schedule/record.go
@@ -65,17 +65,22 @@
 
 // Add puts an occurrence into the history and counts it.
 func (r *Record) Add(e Entry) {
+	r.Note(e)
+	if e.State == StateMade {
+		r.Made++
+	} else {
+		r.Missed++
+	}
+}
+
+// Note puts a job into the history that is no occurrence: one that was asked for.
+func (r *Record) Note(e Entry) {
 	if len(e.Reason) > maxReason {
 		e.Reason = e.Reason[:maxReason]
 	}
 	es, _ := r.Entries()
 	es = append(es, e)
 	r.keep(es[max(0, len(es)-HistoryLength):])
-	if e.State == StateMade {
-		r.Made++
-	} else {
-		r.Missed++
-	}
 }
 
 // Pass adds occurrences that do not run.
