Topology, begun: places, counts and rules as a pure package

Change: internal/topology: a tree of places from networks and host patterns, counts by job or team and place, spread, together, near and away from, hard or soft; samePlace and apart as cases of it. Not wired into the core yet.

--- /dev/null
+++ b/internal/topology/rules.go
@@ -0,0 +1,162 @@
+package topology
+
+import (
+	"fmt"
+	"math"
+)
+
+// Kind is what a rule asks for.
+type Kind int
+
+// The kinds of rules.
+const (
+	Spread   Kind = iota // at most so many of the job's tasks in one place
+	Together             // all of the job's tasks in one place
+	Near                 // in a place where Of has tasks, if it has any
+	AwayFrom             // in no place where Of has tasks
+)
+
+// Rule is one rule of a job, at a level of the tree.
+type Rule struct {
+	Kind  Kind
+	Level int
+	Most  int     // Spread: this many; 0: Share says
+	Share float64 // Spread: this part of the job's tasks, rounded up
+	Of    string  // Near, AwayFrom: a job or team, as the tally names it
+	Soft  bool    // it only ranks
+}
+
+// Job is whose tasks are to start.
+type Job struct {
+	Key   string // as the tally names it
+	Tasks int
+	Rules []Rule
+}
+
+// SamePlace and Apart are the protocol's fields as rules.
+var (
+	SamePlace = Rule{Kind: Together}
+	Apart     = Rule{Kind: Spread, Share: 0.5}
+)
+
+// most is how many tasks a spread rule lets one place have.
+func (r *Rule) most(tasks int) int {
+	if r.Most > 0 {
+		return r.Most
+	}
+	// A share such as 0.1 of 30 is 3, whatever binary fractions make of it.
+	return int(math.Ceil(r.Share*float64(tasks) - 1e-9))
+}
+
+// Tally counts tasks by job or team and place: all that are, or may be, on a
+// machine, from the order to start until they are proven gone.
+type Tally struct {
+	counts map[count]int
+}
+
+type count struct {
+	key   string
+	place *Place // nil: everywhere
+}
+
+// NewTally returns a tally of no tasks.
+func NewTally() *Tally { return &Tally{map[count]int{}} }
+
+// Add counts n tasks in on a machine, or out if n is below 0: with the leaf that
+// they were counted in with, whatever the machine's place is said to be by then.
+func (t *Tally) Add(key string, leaf *Place, n int) {
+	t.add(count{key, nil}, n)
+	for p := leaf; p != nil; p = p.Parent {
+		t.add(count{key, p}, n)
+	}
+}
+
+func (t *Tally) add(c count, n int) {
+	if n += t.counts[c]; n == 0 {
+		delete(t.counts, c)
+	} else {
+		t.counts[c] = n
+	}
+}
+
+// Count is how many tasks a job or team has in a place; nil is everywhere.
+func (t *Tally) Count(key string, p *Place) int { return t.counts[count{key, p}] }
+
+// Refusal says what stands in the way of a start.
+type Refusal struct {
+	Rule  Rule
+	Place *Place
+	Why   string
+}
+
+// share returns the place that a machine shares with others at a level. A machine
+// whose place is not known that deep is a place of its own.
+func share(leaf *Place, level int) (p *Place, known bool) {
+	if p = leaf.At(level); p != nil {
+		return p, true
+	}
+	return leaf, false
+}
+
+// May reports whether one more task of a job may start on a machine. If not, the
+// refusal says why; if so, broken is how many soft rules it would break.
+func (t *Tally) May(j *Job, leaf *Place) (broken int, refusal *Refusal) {
+	for i := range j.Rules {
+		r := &j.Rules[i]
+		why := t.against(j, r, leaf)
+		switch {
+		case why == "":
+		case r.Soft:
+			broken++
+		default:
+			p, _ := share(leaf, r.Level)
+			return 0, &Refusal{*r, p, why}
+		}
+	}
+	return broken, nil
+}
+
+// against says what speaks against a start, or "".
+func (t *Tally) against(j *Job, r *Rule, leaf *Place) string {
+	p, known := share(leaf, r.Level)
+	switch r.Kind {
+	case Spread:
+		if n, most := t.Count(j.Key, p), r.most(j.Tasks); n >= most {
+			return fmt.Sprintf("%s has %d of its tasks, %d are allowed", p, n, most)
+		}
+	case Together:
+		if !known {
+			return fmt.Sprintf("where %s stands is not known", p)
+		}
+		if n := t.Count(j.Key, nil) - t.Count(j.Key, p); n > 0 {
+			return fmt.Sprintf("%d of its tasks are elsewhere than in %s", n, p)
+		}
+	case Near:
+		if t.Count(r.Of, nil) > 0 && t.Count(r.Of, p) == 0 {
+			return fmt.Sprintf("%s has no task of %s", p, r.Of)
+		}
+	case AwayFrom:
+		if n := t.Count(r.Of, p); n > 0 {
+			return fmt.Sprintf("%s has %d tasks of %s", p, n, r.Of)
+		}
+	}
+	return ""
+}
+
+// Room is how many tasks of a job, at most n, the hard rules let start on a
+// machine one after the other.
+func (t *Tally) Room(j *Job, leaf *Place, n int) int {
+	for i := range j.Rules {
+		r := &j.Rules[i]
+		if r.Soft {
+			continue
+		}
+		if r.Kind == Spread {
+			p, _ := share(leaf, r.Level)
+			n = min(n, r.most(j.Tasks)-t.Count(j.Key, p))
+		} else if t.against(j, r, leaf) != "" {
+			return 0
+		}
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/internal/topology/topology.go
@@ -0,0 +1,207 @@
+// Package topology knows the places that machines stand in and what they share,
+// and answers whether a task may start on a machine under the rules of its job.
+// It is pure. A place lies in a tree: zones, below them the levels that operators
+// name, and machines as its leaves. Counting a task in or out and asking for it
+// cost the depth of the tree, however many machines and jobs there are.
+package topology
+
+import (
+	"fmt"
+	"net/netip"
+	"path"
+	"slices"
+
+	"github.com/gaissmai/bart"
+)
+
+// Zone is the name of the widest level; Machine that of the narrowest.
+const (
+	Zone    = "zone"
+	Machine = "machine"
+)
+
+// FieldError says which field is wrong, and why.
+type FieldError struct{ Field, Reason string }
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+func wrong(field, format string, args ...any) error {
+	return &FieldError{field, fmt.Sprintf(format, args...)}
+}
+
+// Definition is what operators say of their places.
+type Definition struct {
+	Levels []string // below the zone, the widest first: switch, rack
+	Places []PlaceDefinition
+}
+
+// PlaceDefinition says which machines stand in a place.
+type PlaceDefinition struct {
+	Zone       string
+	Names      []string // of the place at each level from the widest on
+	Networks   []string // of its machines' addresses, such as 10.1.4.0/22
+	Hosts      []string // patterns of its machines' names, such as host-0001*
+	UplinkMbps float64  // what its machines share towards the rest; 0: not said
+}
+
+// Place is a place in the tree. Two machines share it if both lie below it.
+type Place struct {
+	Name       string
+	Level      int // 0: a zone
+	Parent     *Place
+	UplinkMbps float64
+	children   map[string]*Place
+}
+
+// String names a place with those above it, the widest first.
+func (p *Place) String() string {
+	if p.Parent == nil {
+		return p.Name
+	}
+	return p.Parent.String() + "/" + p.Name
+}
+
+// At returns the place at a level that p lies in or is. Below the deepest place
+// that is known of a machine it is nil.
+func (p *Place) At(level int) *Place {
+	for p != nil && p.Level > level {
+		p = p.Parent
+	}
+	if p == nil || p.Level != level {
+		return nil
+	}
+	return p
+}
+
+func (p *Place) child(name string, level int) *Place {
+	c := p.children[name]
+	if c == nil {
+		c = &Place{Name: name, Level: level, Parent: p}
+		if p.children == nil {
+			p.children = map[string]*Place{}
+		}
+		p.children[name] = c
+	}
+	return c
+}
+
+// Tree is all places. It is not for concurrent use.
+type Tree struct {
+	levels   []string // from the zone to the machine
+	zones    map[string]*Place
+	networks bart.Table[*Place]
+	hosts    []hostPattern
+	machines map[string]*Place
+}
+
+type hostPattern struct {
+	pattern string
+	place   *Place
+}
+
+// New checks a definition. The error is a *FieldError. A zero definition gives a
+// tree of zones and machines.
+func New(def Definition) (*Tree, error) {
+	t := &Tree{levels: append([]string{Zone}, def.Levels...), zones: map[string]*Place{}, machines: map[string]*Place{}}
+	t.levels = append(t.levels, Machine)
+	for i, l := range t.levels {
+		if l == "" || slices.Contains(t.levels[:i], l) {
+			return nil, wrong("levels", "%q is empty, stands twice, or is one of %s and %s, which are always there", l, Zone, Machine)
+		}
+	}
+	seen := map[netip.Prefix]bool{}
+	for i, d := range def.Places {
+		field := func(name string) string { return fmt.Sprintf("places[%d].%s", i, name) }
+		if d.Zone == "" {
+			return nil, wrong(field(Zone), "missing")
+		}
+		if len(d.Names) > len(def.Levels) {
+			return nil, wrong(field("names"), "%d names for %d levels", len(d.Names), len(def.Levels))
+		}
+		p := t.zone(d.Zone)
+		for k, name := range d.Names {
+			if name == "" {
+				return nil, wrong(field(def.Levels[k]), "missing, and a level below it is named")
+			}
+			p = p.child(name, k+1)
+		}
+		if !(d.UplinkMbps >= 0) {
+			return nil, wrong(field("uplink_mbps"), "must not be below 0")
+		}
+		if d.UplinkMbps > 0 {
+			p.UplinkMbps = d.UplinkMbps
+		}
+		for _, s := range d.Networks {
+			n, err := netip.ParsePrefix(s)
+			if err != nil {
+				return nil, wrong(field("networks"), "%q is no network such as 10.1.4.0/22", s)
+			}
+			if n = n.Masked(); seen[n] {
+				return nil, wrong(field("networks"), "%s is that of another place", n)
+			}
+			seen[n] = true
+			t.networks.Insert(n, p)
+		}
+		for _, s := range d.Hosts {
+			if _, err := path.Match(s, ""); err != nil {
+				return nil, wrong(field("hosts"), "%q is no pattern such as host-0001*", s)
+			}
+			t.hosts = append(t.hosts, hostPattern{s, p})
+		}
+	}
+	return t, nil
+}
+
+func (t *Tree) zone(name string) *Place {
+	z := t.zones[name]
+	if z == nil {
+		z = &Place{Name: name}
+		t.zones[name] = z
+	}
+	return z
+}
+
+// Level returns the number of a level, 0 for the zone; false if there is none of
+// this name.
+func (t *Tree) Level(name string) (int, bool) {
+	i := slices.Index(t.levels, name)
+	return i, i >= 0
+}
+
+// Machine returns a machine's place, a leaf of the tree. It stands where the
+// first pattern of host names says, or else the longest network that holds its
+// address; if neither says, all that is known of it is the zone. A place in
+// another zone than the cloud's is a contradiction: it does not count, and is
+// returned to be told.
+func (t *Tree) Machine(host, address, zone string) (leaf, contradiction *Place) {
+	if p := t.machines[host]; p != nil {
+		return p, nil
+	}
+	at := t.find(host, address)
+	if at != nil && at.At(0).Name != zone {
+		at, contradiction = nil, at
+	}
+	if at == nil {
+		at = t.zone(zone)
+	}
+	leaf = &Place{Name: host, Level: len(t.levels) - 1, Parent: at}
+	t.machines[host] = leaf
+	return leaf, contradiction
+}
+
+func (t *Tree) find(host, address string) *Place {
+	for _, h := range t.hosts {
+		if ok, _ := path.Match(h.pattern, host); ok {
+			return h.place
+		}
+	}
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil
+	}
+	p, _ := t.networks.Lookup(ap.Addr().Unmap())
+	return p
+}
+
+// Forget forgets a machine that is gone.
+func (t *Tree) Forget(host string) { delete(t.machines, host) }
