samePlace and apart are kept by the topology's tally

Change: tasks of jobs with rules on places are counted by place, from the order to start until they are proven gone; room on a machine costs the depth of the tree. Their meaning is as before.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"yewpass/internal/timeline"
+	"yewpass/internal/topology"
 )
 
 // job is an accepted job that is not over.
@@ -17,7 +18,8 @@
 	need      timeline.Resources
 	submitted time.Time // on the core's clock
 	rec       *JobRecord
-	earlier   bool // accepted in an earlier term: its tasks may be anywhere
+	earlier   bool         // accepted in an earlier term: its tasks may be anywhere
+	places    topology.Job // its rules on places
 	team      *team
 	prompt    bool // must start at once
 
@@ -63,6 +65,13 @@
 		runs: map[int]*run{}, chunkRev: map[int]uint64{}, dirty: map[int]bool{}, errHosts: map[string]bool{},
 		team: c.lead.teams[s.Owner], prompt: c.promptly(s.Class),
 	}
+	j.places = topology.Job{Key: s.ID, Tasks: s.Tasks}
+	if s.SamePlace {
+		j.places.Rules = append(j.places.Rules, topology.SamePlace)
+	}
+	if s.Apart {
+		j.places.Rules = append(j.places.Rules, topology.Apart)
+	}
 	if j.team == nil { // the team has left the settings: its jobs still run
 		j.team = &team{}
 		c.lead.teams[s.Owner] = j.team
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"yewpass/internal/topology"
 )
 
 // leadership is everything that only a leader has. Stepping down drops it whole.
@@ -23,6 +25,8 @@
 
 	waiting []ReportIn // reports that came while loading
 
+	places     *topology.Tree
+	tally      *topology.Tally // tasks of jobs with rules on places
 	pipe       pipeline
 	sched      schedules
 	jobs       map[string]*job
@@ -181,8 +185,10 @@
 			busy:   map[string]bool{},
 		},
 		rent:  newRenting(c.cfg),
+		tally: topology.NewTally(),
 		sched: newSchedules(),
 	}
+	c.lead.places, _ = topology.New(topology.Definition{}) // zones alone: cannot fail
 	for _, t := range c.cfg.Settings.Teams {
 		c.lead.teams[t.Name] = newTeam(t)
 		c.lead.guarantees = c.lead.guarantees || t.CPUs > 0 || t.GPUs > 0
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yewpass/internal/timeline"
+	"yewpass/internal/topology"
 )
 
 // run is one attempt of a task on a machine: from the order to start it until
@@ -46,7 +47,8 @@
 type machine struct {
 	host, flavorName, zone string
 	address                string
-	flavor                 *Flavor // nil while the catalog is unknown
+	leaf                   *topology.Place // where it stands
+	flavor                 *Flavor         // nil while the catalog is unknown
 	reclaimable            bool
 	record                 recordState // a successor must know of it before it may hold tasks
 	group                  *group      // the record that names it
@@ -90,6 +92,7 @@
 	if m == nil {
 		m = &machine{host: host, flavorName: flavor, zone: zone, reclaimable: reclaimable,
 			since: c.now, rentedAt: c.now, idle: c.now, images: map[string]bool{}, tl: timeline.New(timeline.Resources{})}
+		m.leaf, _ = l.places.Machine(host, "", zone)
 		l.machines[host] = m
 		l.fleet = slices.Insert(l.fleet, l.place(host), m)
 		c.setFlavor(m)
@@ -322,6 +325,9 @@
 		j.waiting--
 		c.unbookOne(j)
 	}
+	if len(j.places.Rules) > 0 {
+		c.lead.tally.Add(j.spec.ID, r.m.leaf, 1)
+	}
 	r.m.used = r.m.used.Add(j.need, 1)
 	j.team.used = j.team.used.Add(j.need, 1)
 	r.slot = &timeline.Booking{Start: c.now, End: c.now.Add(c.length(j, r.m)), Need: j.need, Count: 1}
@@ -340,6 +346,9 @@
 	r.holds = false
 	j := r.job
 	c.count(r, false)
+	if len(j.places.Rules) > 0 {
+		c.lead.tally.Add(j.spec.ID, r.m.leaf, -1)
+	}
 	r.m.used = r.m.used.Add(r.need, -1)
 	j.team.used = j.team.used.Add(r.need, -1)
 	if j.runs[r.id.Index] == r {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -434,25 +434,13 @@
 	}
 }
 
-// placeRoom says how many more tasks of the job may be in the machine's zone
-// now, given where its other tasks are.
+// placeRoom says how many more tasks of the job may be on the machine now, given
+// where its others are, or may be.
 func (c *Core) placeRoom(j *job, m *machine, n int) int {
-	s := &j.spec
-	if !s.SamePlace && !s.Apart {
+	if len(j.places.Rules) == 0 {
 		return n
 	}
-	same := 0
-	for _, r := range j.runs {
-		if r.m.zone == m.zone {
-			same++
-		} else if s.SamePlace {
-			return 0
-		}
-	}
-	if s.Apart {
-		n = min(n, (s.Tasks+1)/2-same)
-	}
-	return max(n, 0)
+	return c.lead.tally.Room(&j.places, m.leaf, n)
 }
 
 // mayStart reports whether tasks of the job may start at all now.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -194,6 +194,7 @@
 		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
 	}
 	delete(l.machines, host)
+	l.places.Forget(host)
 	if i := l.place(host); i < len(l.fleet) && l.fleet[i] == m {
 		l.fleet = slices.Delete(l.fleet, i, i+1)
 	}
