One way to pass occurrences over, to read a record back, and to fit a value

Need: the core and the schedule package each built entries of occurrences that do not run; three writers each read their record back in a loop of their own; three places computed the same bound. Change: schedule.Passed and Record.Pass, readBackKey, fits; Passed of a definition is now called Resumed. Behaviour is as before, but that progress waits for the state service before it is written again.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -95,7 +95,12 @@
 			}
 			return true
 		}
-		ch.failed = func() { c.rereadGroup(g, ln) }
+		ch.failed = func() { // an earlier try of ours has been applied
+			c.readBackKey(g.key, func(e Entry, _ bool) {
+				g.rev = e.Rev // 0 if there is none
+				c.writeGroup(g, ln)
+			})
+		}
 		ch.done = func(rev uint64) {
 			if g.rev = rev; ch.writes[0].Value == nil {
 				g.rev = 0
@@ -111,23 +116,6 @@
 	})
 }
 
-// rereadGroup learns a record's revision and writes it anew: an earlier try of
-// ours has been applied.
-func (c *Core) rereadGroup(g *group, ln lane) {
-	c.leaderStore(StoreCall{Op: StoreGet, Key: g.key}, func(r StoreReply) {
-		switch r.Outcome {
-		case OK:
-			g.rev = r.Entries[0].Rev
-		case Missing:
-			g.rev = 0
-		default:
-			c.whenLeading(c.jitter(500*time.Millisecond), func() { c.rereadGroup(g, ln) })
-			return
-		}
-		c.writeGroup(g, ln)
-	})
-}
-
 // loadGroup takes in a record of an earlier term.
 func (c *Core) loadGroup(key string, rec *MachineRecord, rev uint64) {
 	l := c.lead
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -188,13 +188,8 @@
 		},
 		failed: func() {
 			// A write of ours whose outcome was not known has been applied.
-			c.leaderStore(StoreCall{Op: StoreGet, Key: key}, func(r StoreReply) {
-				switch r.Outcome {
-				case OK:
-					j.chunkRev[chunk] = r.Entries[0].Rev
-				case Missing:
-					j.chunkRev[chunk] = 0
-				}
+			c.readBackKey(key, func(e Entry, _ bool) {
+				j.chunkRev[chunk] = e.Rev // 0 if there is none
 				if c.lead.jobs[j.spec.ID] == j && !j.halted() {
 					c.flushChunk(j, chunk)
 				}
@@ -331,6 +326,12 @@
 	})
 }
 
+// fits reports whether a record of so many bytes fits into a value of the state
+// service.
+func (c *Core) fits(size int) bool {
+	return float64(size) <= c.cfg.Settings.State.ValueKB*1024
+}
+
 // recordSize estimates the bytes of a job's record, with room to spare.
 func recordSize(s *JobSpec) int {
 	n := 700 + 6*(len(s.Class)+len(s.Owner)+len(s.Image)+len(s.Zone))
--- a/internal/core/schedule_users.go
+++ b/internal/core/schedule_users.go
@@ -189,7 +189,7 @@
 	}
 	file, err := json.Marshal(q.File)
 	rec := &schedule.Record{File: file, Edition: 1}
-	if err != nil || float64(rec.Size()) > c.cfg.Settings.State.ValueKB*1024 {
+	if err != nil || !c.fits(rec.Size()) {
 		c.answer(call, AnswerUser{Status: 400, Field: "at", Reason: "at, rule or job: the description is too long"})
 		return
 	}
@@ -202,7 +202,7 @@
 		c.answer(call, AnswerUser{Status: 422, Field: "job", Reason: "job: " + reason})
 		return
 	}
-	if float64(recordSize(&job)) > c.cfg.Settings.State.ValueKB*1024 {
+	if !c.fits(recordSize(&job)) {
 		c.answer(call, AnswerUser{Status: 400, Field: "job.flavors", Reason: "job.flavors: the description is too long"})
 		return
 	}
@@ -212,8 +212,7 @@
 		c.writeSchedule(s, urgent, func(r *schedule.Record) {
 			r.File = file
 			r.Edition++
-			r.Pass(missed, "the schedule was edited")
-			r.Cursor = cursor
+			r.Pass(cursor, missed)
 		}, nil, func() {
 			s.def, s.problem, s.held = def, "", false
 			c.note(slog.LevelInfo, "schedule edited", "schedule", s.name, "edition", s.rec.Edition)
@@ -358,16 +357,15 @@
 		return
 	}
 	cursor := s.rec.Cursor
-	var missed []calendar.Occurrence
+	var missed []schedule.Passed
 	if !pause && s.def != nil {
-		cursor, missed = s.def.Passed(cursor, c.wall())
+		cursor, missed = s.def.Resumed(cursor, c.wall())
 	}
 	s.asker = &call
 	c.writeSchedule(s, urgent, func(r *schedule.Record) {
 		r.Paused = pause
 		r.Edition++
-		r.Pass(missed, "the schedule was paused")
-		r.Cursor = cursor
+		r.Pass(cursor, missed)
 	}, nil, func() {
 		s.held = false
 		s.reply(c, c.viewOf(s, 200))
--- a/internal/core/schedule_write.go
+++ b/internal/core/schedule_write.go
@@ -71,21 +71,16 @@
 	}
 }
 
-// readSchedule reads a record back until the state service answers.
+// readSchedule reads a record back; found is nil if there is none.
 func (c *Core) readSchedule(s *scheduled, f func(found *schedule.Record, rev uint64)) {
-	c.leaderStore(StoreCall{Op: StoreGet, Key: scheduleKeys + s.name}, func(r StoreReply) {
-		switch r.Outcome {
-		case OK:
-			if rec, _ := r.Entries[0].Value.(*schedule.Record); rec != nil {
-				f(rec, r.Entries[0].Rev)
-				return
-			}
-			c.note(slog.LevelError, "record is unreadable", "key", scheduleKeys+s.name)
-		case Missing:
-			f(nil, 0)
+	c.readBackKey(scheduleKeys+s.name, func(e Entry, found bool) {
+		rec, _ := e.Value.(*schedule.Record)
+		if found && rec == nil {
+			c.note(slog.LevelError, "record is unreadable", "key", e.Key)
+			c.whenLeading(c.jitter(time.Second), func() { c.readSchedule(s, f) })
 			return
 		}
-		c.whenLeading(c.jitter(time.Second), func() { c.readSchedule(s, f) })
+		f(rec, e.Rev)
 	})
 }
 
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -251,12 +251,6 @@
 	return len(l.pipe.waits[due]) > 0 || l.sched.ready.len() > 0 && len(l.rent.flavors) > 0
 }
 
-type passed struct {
-	o      calendar.Occurrence
-	state  string
-	reason string
-}
-
 // decide decides on the next occurrences of a schedule, up to one that becomes a
 // job, and has the outcome written.
 func (c *Core) decide(s *scheduled) {
@@ -265,7 +259,7 @@
 	if s.busy {
 		return // planned again when the write is over
 	}
-	var gone []passed
+	var gone []schedule.Passed
 	cursor := s.rec.Cursor
 	for range decideAtOnce {
 		before := schedule.Before{Live: l.jobs[s.rec.LastJob] != nil}
@@ -288,7 +282,7 @@
 			}
 		}
 		if v == schedule.Miss {
-			gone = append(gone, passed{o, schedule.StateMissed, reason})
+			gone = append(gone, schedule.Passed{Occurrence: o, State: schedule.StateMissed, Reason: reason})
 			cursor = cursor.Past(o)
 			continue
 		}
@@ -302,33 +296,25 @@
 	c.plan(s)
 }
 
-// pass puts occurrences that do not run into a record.
-func pass(r *schedule.Record, cursor schedule.Cursor, gone []passed) {
-	for _, p := range gone {
-		r.Add(schedule.Entry{Job: schedule.JobID(r.Number, p.o.Nominal), Planned: p.o.Start, Due: p.o.Due, State: p.state, Reason: p.reason})
-	}
-	r.Cursor = cursor
-}
-
 // told logs and counts occurrences that do not run.
-func (c *Core) told(s *scheduled, gone []passed) {
+func (c *Core) told(s *scheduled, gone []schedule.Passed) {
 	c.lead.sched.missed += int64(len(gone))
 	for _, p := range gone {
-		c.note(slog.LevelWarn, "occurrence missed", "schedule", s.name, "planned", p.o.Start, "job", schedule.JobID(s.rec.Number, p.o.Nominal), "reason", p.reason)
+		c.note(slog.LevelWarn, "occurrence missed", "schedule", s.name, "planned", p.Start, "job", schedule.JobID(s.rec.Number, p.Nominal), "reason", p.Reason)
 	}
 }
 
 // passOver has it written that occurrences do not run.
-func (c *Core) passOver(s *scheduled, cursor schedule.Cursor, gone []passed) {
-	c.writeSchedule(s, due, func(r *schedule.Record) { pass(r, cursor, gone) }, nil, func() { c.told(s, gone) }, nil)
+func (c *Core) passOver(s *scheduled, cursor schedule.Cursor, gone []schedule.Passed) {
+	c.writeSchedule(s, due, func(r *schedule.Record) { r.Pass(cursor, gone) }, nil, func() { c.told(s, gone) }, nil)
 }
 
 // makeJob makes an occurrence a job; past is the cursor behind it.
-func (c *Core) makeJob(s *scheduled, past schedule.Cursor, o calendar.Occurrence, job *JobRecord, gone []passed) {
+func (c *Core) makeJob(s *scheduled, past schedule.Cursor, o calendar.Occurrence, job *JobRecord, gone []schedule.Passed) {
 	id := job.Spec.ID
 	s.notBefore = time.Time{}
 	c.writeSchedule(s, due, func(r *schedule.Record) {
-		pass(r, past, gone)
+		r.Pass(past, gone)
 		r.LastJob = id
 		r.Add(schedule.Entry{Job: id, Planned: o.Start, Due: o.Due, Made: c.wall(), State: schedule.StateMade})
 	}, job, func() {
@@ -345,7 +331,7 @@
 		c.watchDeadline(s, j, o.Due)
 	}, func() {
 		c.note(slog.LevelError, "occurrence failed, its job id is taken", "schedule", s.name, "planned", o.Start, "job", id)
-		c.passOver(s, past, append(gone, passed{o, schedule.StateFailed, "job id " + id + " is taken"}))
+		c.passOver(s, past, append(gone, schedule.Passed{Occurrence: o, State: schedule.StateFailed, Reason: "job id " + id + " is taken"}))
 	})
 }
 
@@ -398,6 +384,7 @@
 	s.notes = nil
 }
 
+// wasLate notes that an occurrence was not over by its deadline.
 func (c *Core) wasLate(s *scheduled, e schedule.Entry) {
 	s.rec.Update(e.Job, func(e *schedule.Entry) { e.Late = true })
 	s.rec.Late++
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// readBackKey reads a record whose write met a condition that does not hold, until
+// the state service answers; found is false if there is none.
+func (c *Core) readBackKey(key string, f func(e Entry, found bool)) {
+	c.leaderStore(StoreCall{Op: StoreGet, Key: key}, func(r StoreReply) {
+		switch r.Outcome {
+		case OK:
+			f(r.Entries[0], true)
+		case Missing:
+			f(Entry{}, false)
+		default:
+			c.whenLeading(c.jitter(500*time.Millisecond), func() { c.readBackKey(key, f) })
+		}
+	})
+}
+
 // nudge has the pump run again soon.
 func (c *Core) nudge() {
 	p := &c.lead.pipe
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -254,7 +254,7 @@
 		return
 	}
 	s := call.Spec
-	if float64(recordSize(s)) > c.cfg.Settings.State.ValueKB*1024 {
+	if !c.fits(recordSize(s)) {
 		// Its record would not fit into a value, now or on any retry.
 		c.answer(call, AnswerUser{Status: 400, Field: "flavors", Reason: "flavors: the description is too long"})
 		return
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -105,7 +105,7 @@
 // Edited returns the cursor of a schedule that had the definition old. What was
 // made is not made again. What was due and not made yet is still made if the new
 // definition has it too; otherwise it is missed, and missed names it.
-func (d *Def) Edited(old *Def, cursor Cursor, now time.Time) (next Cursor, missed []calendar.Occurrence) {
+func (d *Def) Edited(old *Def, cursor Cursor, now time.Time) (next Cursor, missed []Passed) {
 	if old == nil || d.Timing.Same(old.Timing) {
 		return cursor, nil
 	}
@@ -122,7 +122,7 @@
 			}
 			return Cursor{c.Nominal, cursor.Rule}, missed
 		}
-		missed = append(missed, o)
+		missed = append(missed, Passed{o, StateMissed, "the schedule was edited"})
 		c = c.Past(o)
 	}
 	next = Cursor{d.From(now).Nominal, cursor.Rule}
@@ -135,15 +135,15 @@
 // maxOwed bounds what an edit or a pause looks through of what was owed.
 const maxOwed = 256
 
-// Passed returns the cursor after everything that is due, and the latest of what
-// it passes over.
-func (d *Def) Passed(cursor Cursor, now time.Time) (next Cursor, missed []calendar.Occurrence) {
+// Resumed returns the cursor of a schedule that was paused until now, after
+// everything that is due, and the latest of what it passes over.
+func (d *Def) Resumed(cursor Cursor, now time.Time) (next Cursor, missed []Passed) {
 	for len(missed) < maxOwed {
 		o, ok := d.Next(cursor)
 		if !ok || o.Start.After(now) {
 			return cursor, missed
 		}
-		missed = append(missed, o)
+		missed = append(missed, Passed{o, StateMissed, "the schedule was paused"})
 		cursor = cursor.Past(o)
 	}
 	return Cursor{d.From(now).Nominal, cursor.Rule}, missed
--- a/internal/schedule/record.go
+++ b/internal/schedule/record.go
@@ -83,11 +83,19 @@
 	r.keep(es[max(0, len(es)-HistoryLength):])
 }
 
-// Pass adds occurrences that do not run.
-func (r *Record) Pass(os []calendar.Occurrence, reason string) {
-	for _, o := range os {
-		r.Add(Entry{Job: JobID(r.Number, o.Nominal), Planned: o.Start, Due: o.Due, State: StateMissed, Reason: reason})
+// Passed is an occurrence that does not run, and why.
+type Passed struct {
+	calendar.Occurrence
+	State  string // StateMissed or StateFailed
+	Reason string
+}
+
+// Pass adds occurrences that do not run, and moves the cursor.
+func (r *Record) Pass(cursor Cursor, gone []Passed) {
+	for _, p := range gone {
+		r.Add(Entry{Job: JobID(r.Number, p.Nominal), Planned: p.Start, Due: p.Due, State: p.State, Reason: p.Reason})
 	}
+	r.Cursor = cursor
 }
 
 // Entry returns the entry of a job; false if the history has none.
@@ -135,9 +143,8 @@
 
 // keep writes the history as one string: a leader holds and a new one reads
 // thousands, and as values of their own the entries took half of the memory and
-// half of the time. Entries end with a
-// semicolon, fields with a comma: job, times in milliseconds to the base 36 (or
-// nothing), state, "l" if late, reason.
+// half of the time. Entries end with a semicolon, fields with a comma: job, times
+// in milliseconds to the base 36 (or nothing), state, "l" if late, reason.
 func (r *Record) keep(es []Entry) {
 	var b []byte
 	for i := range es {
