Occurrences missed by an edit or a pause are logged and counted as others are

Need: each missed occurrence is to have a log line and a count; those passed over by an edit or while paused were in the history and the record only.

--- a/internal/core/schedule_users.go
+++ b/internal/core/schedule_users.go
@@ -214,6 +214,7 @@
 			r.Edition++
 			r.Pass(cursor, missed)
 		}, nil, func() {
+			c.told(s, missed)
 			s.def, s.problem, s.held = def, "", false
 			c.note(slog.LevelInfo, "schedule edited", "schedule", s.name, "edition", s.rec.Edition)
 			s.reply(c, c.viewOf(s, 200))
@@ -367,6 +368,7 @@
 		r.Edition++
 		r.Pass(cursor, missed)
 	}, nil, func() {
+		c.told(s, missed)
 		s.held = false
 		s.reply(c, c.viewOf(s, 200))
 	}, nil)
