--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -66,6 +66,7 @@
 	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
 	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, muted: map[string]mute{}, refilled: w.now}
 	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
+	w.address = func(host string) string { return host + workerPort }
 	w.cloud.boots = func() (time.Duration, bool) { return time.Duration(60 + w.rng.IntN(90)), true }
 	s := &w.cfg.Settings
 	s.Nodes, s.Zones = 3, []string{"a", "b"}
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -75,7 +75,7 @@
 func (w *world) pickNode() *node {
 	var up []*node
 	for _, n := range w.nodes {
-		if n.alive && n.core.Ready() && w.net.open("user", n.name) {
+		if n.alive && n.ready() && w.net.open("user", n.name) {
 			up = append(up, n)
 		}
 	}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -36,7 +36,8 @@
 	broken             map[string]bool
 	started, refusals  int
 	polls              int
-	given              time.Time // when the answer at hand was given
+	address            func(host string) string // where a worker takes commands
+	given              time.Time                // when the answer at hand was given
 	answered, failures []time.Time
 	trace              func(string)
 }
@@ -140,6 +141,22 @@
 	links map[string]*link
 
 	wander time.Duration // of the time of day against the steady clock
+
+	process remote // the real program, instead of a core
+}
+
+// remote is a node that runs as a process of its own.
+type remote interface {
+	ready() bool
+	ask(in any, f func(any)) // f is called once, with an answer of status 0 if there is none
+}
+
+// ready reports whether the load balancer would choose the node.
+func (n *node) ready() bool {
+	if n.process != nil {
+		return n.process.ready()
+	}
+	return n.core.Ready()
 }
 
 type link struct {
@@ -237,6 +254,10 @@
 // ask gives the core a request and has f called with its answer.
 func (n *node) ask(in func(ref uint64) any, f func(any)) {
 	n.ref++
+	if n.process != nil {
+		n.process.ask(in(n.ref), f)
+		return
+	}
 	n.reply[n.ref] = f
 	n.input(in(n.ref))
 }
