--- a/internal/api/schedules.go
+++ b/internal/api/schedules.go
@@ -16,7 +16,7 @@
 const (
 	defaultCount = 20
 	maxUpcoming  = 100
-	maxListed    = 200
+	maxListed    = core.MaxCount
 	maxRequest   = 200 // bytes of a request's name
 )
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,20 +55,21 @@
 
 	wander time.Duration
 
-	ref     uint64
-	stores  map[uint64]func(StoreReply)
-	clouds  map[uint64]func(CloudReply)
-	probes  map[uint64]func(ProbeReply)
-	calls   map[uint64]*forwarded // users' requests at the leader's
-	wake    byTime[func()]        // alarms: a large fleet has one for nearly every machine
-	lead    *leadership
-	hint    string // who leads, as far as we know
-	termMax uint64 // the highest term seen anywhere
-	links   map[string]bool
-	apart   time.Time                       // since when we have no link to the leader that we know
-	final   *lru.Cache[string, FinalRecord] // how recent jobs ended
-	reads   *rate.Limiter
-	stateUp bool
+	ref       uint64
+	stores    map[uint64]func(StoreReply)
+	clouds    map[uint64]func(CloudReply)
+	probes    map[uint64]func(ProbeReply)
+	calls     map[uint64]*forwarded // users' requests at the leader's
+	wake      byTime[func()]        // alarms: a large fleet has one for nearly every machine
+	lead      *leadership
+	hint      string // who leads, as far as we know
+	termMax   uint64 // the highest term heard of
+	confirmed uint64 // the newest that the state service has told us of
+	links     map[string]bool
+	apart     time.Time                       // since when we have no link to the leader that we know
+	final     *lru.Cache[string, FinalRecord] // how recent jobs ended
+	reads     *rate.Limiter
+	stateUp   bool
 
 	report, lease, hold time.Duration
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -54,6 +54,7 @@
 	dispatchAt  time.Time           // not before this again
 	dispatching bool                // and then it is seen to
 	tries       uint64
+	doubting    bool // whether the term is still ours is being looked into
 
 	holdIdle, holdBusy time.Duration
 	margin             float64
@@ -88,7 +89,7 @@
 				c.after(c.jitter(time.Second), c.watch)
 				return
 			}
-			c.heard(rec.Node, rec.Term)
+			c.recordedLeader(rec)
 			c.store(StoreCall{Op: StoreFollow, Key: leaderKey, FromRev: r.Rev, Wait: 20 * time.Second, Within: 25 * time.Second}, func(r StoreReply) {
 				if r.Outcome == OK {
 					c.watch()
@@ -100,6 +101,17 @@
 	})
 }
 
+// recordedLeader takes note of the leader that the state service names. That goes
+// above everything that peers have said.
+func (c *Core) recordedLeader(rec *LeaderRecord) {
+	if rec.Term < c.termMax {
+		c.note(slog.LevelWarn, "a term that was claimed never was", "claimed", c.termMax, "term", rec.Term)
+		c.termMax = rec.Term
+	}
+	c.heard(rec.Node, rec.Term)
+	c.confirmed = rec.Term
+}
+
 // heard takes note of a leader.
 func (c *Core) heard(node string, term uint64) {
 	if term < c.termMax {
@@ -156,7 +168,10 @@
 				When: []Cond{{leaderKey, 0}, {termKey, rev}},
 				Then: []Write{{leaderKey, &LeaderRecord{c.cfg.HostName, term}, g.Grant}, {termKey, &TermRecord{term}, 0}},
 			}, func(r StoreReply) {
-				if r.Outcome != OK || term < c.termMax {
+				// What was heard of terms does not count here, only the record: a
+				// peer may say anything. An answer that comes this late finds the
+				// grant over.
+				if r.Outcome != OK || !c.now.Before(authorityFrom(sent)) {
 					drop()
 					return
 				}
@@ -173,7 +188,7 @@
 // begin begins a term.
 func (c *Core) begin(term, rev, grant uint64, sent time.Time) {
 	st := c.cfg.Settings.State
-	c.termMax, c.hint = term, ""
+	c.termMax, c.confirmed, c.hint = term, term, ""
 	c.lead = &leadership{
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
@@ -407,14 +422,7 @@
 func (c *Core) peerIn(p PeerIn) {
 	switch p.Msg.Kind {
 	case PeerLeader:
-		if p.Msg.Term < c.termMax {
-			return
-		}
-		if c.lead != nil && p.Msg.Term > c.lead.term {
-			c.stepDown("a newer term is known")
-		}
-		c.heard(p.From, p.Msg.Term)
-		c.emit(PeerSend{p.From, PeerMsg{Kind: PeerAck, Term: p.Msg.Term}})
+		c.claimed(p.From, p.Msg.Term)
 	case PeerAck:
 		l := c.lead
 		if l == nil || p.Msg.Term != l.term || l.acked[p.From] {
@@ -430,3 +438,80 @@
 		c.peerAnswer(p.From, p.Msg)
 	}
 }
+
+// claimed: a peer says that it leads a term. A line that anybody might have written
+// must neither end a leadership that is in order nor keep the nodes from the leader
+// that there is.
+func (c *Core) claimed(from string, term uint64) {
+	accept := func() {
+		c.heard(from, term)
+		c.emit(PeerSend{from, PeerMsg{Kind: PeerAck, Term: term}})
+	}
+	switch l := c.lead; {
+	case term < c.termMax:
+	case l != nil && term == l.term:
+		c.note(slog.LevelError, "a peer claims the term that this node leads", "peer", from, "term", term)
+	case l != nil && c.leads():
+		// In authority our grant lives, and nobody else can have begun a term, as
+		// far as our clock goes; the state service knows.
+		c.doubt("a newer term is known", func() {
+			c.note(slog.LevelWarn, "a term that was claimed never was", "peer", from, "claimed", term, "term", l.term)
+		})
+	case l != nil:
+		c.stepDown("a newer term is known")
+		accept()
+		c.confirm(term)
+	case term == c.confirmed && (c.hint == from || c.hint == ""):
+		accept()
+	default:
+		accept()
+		c.confirm(term)
+	}
+}
+
+// doubt asks the state service whether our term is still the newest, because
+// something says that it is not. If it is, unfounded is called.
+func (c *Core) doubt(because string, unfounded func()) {
+	l := c.lead
+	if l.doubting || !c.reads.AllowN(c.now, 1) {
+		return // whoever insists will say so again
+	}
+	l.doubting = true
+	c.leaderStore(StoreCall{Op: StoreGet, Key: termKey}, func(r StoreReply) {
+		l.doubting = false
+		switch {
+		case r.Outcome == OK && r.Entries[0].Rev == l.termRev:
+			unfounded()
+		case r.Outcome == OK || r.Outcome == Missing:
+			c.stepDown(because)
+		}
+	})
+}
+
+// confirm asks the state service about a term that a peer has claimed to lead. It
+// was believed at once, because workers are led to a new leader by that; what is not
+// on record is forgotten again.
+func (c *Core) confirm(term uint64) {
+	again := func() {
+		if c.lead == nil && c.termMax == term && c.confirmed != term {
+			c.confirm(term)
+		}
+	}
+	c.store(StoreCall{Op: StoreGet, Key: leaderKey}, func(r StoreReply) {
+		if c.lead != nil || c.termMax != term {
+			return
+		}
+		var rec *LeaderRecord
+		if r.Outcome == OK {
+			rec, _ = r.Entries[0].Value.(*LeaderRecord)
+		}
+		switch {
+		case rec != nil:
+			c.recordedLeader(rec)
+		case r.Outcome == OK || r.Outcome == Missing:
+			c.termMax, c.hint = c.confirmed, ""
+		default:
+			c.after(c.jitter(500*time.Millisecond), again)
+		}
+	})
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -43,6 +43,18 @@
 	Cancelled JobState = "cancelled"
 )
 
+// Known reports whether s is a state of the protocol, or none.
+func (s JobState) Known() bool {
+	return s == "" || s == Queued || s == Running || s == Done || s == Cancelled
+}
+
+// MaxTerm bounds the terms, and with them the workers' epochs: an attempt carries
+// its term in its upper bits. A number above it was never a term.
+const MaxTerm = 1<<(64-tryBits) - 1
+
+// tryBits is how much of an attempt counts the starts of a term.
+const tryBits = 28
+
 // TaskID names a task: job and number.
 type TaskID struct {
 	Job   string
@@ -266,6 +278,35 @@
 	Schedule *ScheduleCall
 }
 
+// Sound reports whether a call of a peer carries what its operation asks for, as the
+// interface to users makes sure of for our own.
+func (m *PeerMsg) Sound() bool {
+	switch m.Op {
+	case OpSubmit:
+		return m.Schedule == nil && m.Spec != nil && m.Spec.ID == m.ID
+	case OpGet, OpCancel:
+		return m.Schedule == nil && m.Spec == nil && spec.ValidID(m.ID)
+	}
+	q := m.Schedule
+	if q == nil || m.Spec != nil || q.Count < 0 || q.Count > MaxCount {
+		return false
+	}
+	switch m.Op {
+	case OpScheduleList:
+		return true
+	case OpSchedulePut:
+		return schedule.ValidName(q.Name) && q.File != nil
+	case OpScheduleRun:
+		return schedule.ValidName(q.Name) && q.Request != ""
+	case OpScheduleGet, OpScheduleDelete, OpSchedulePause, OpScheduleResume, OpScheduleUpcoming, OpScheduleHistory:
+		return schedule.ValidName(q.Name)
+	}
+	return false
+}
+
+// MaxCount bounds what one answer lists.
+const MaxCount = 200
+
 // Tick lets the core act on the passing of time.
 type Tick struct{}
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -190,35 +190,67 @@
 			}
 			return
 		}
-		var j messageJSON
-		err := json.Unmarshal(sc.Bytes(), &j)
-		if err != nil || !known[j.From] {
-			slog.Warn("garbage on the peer port, connection closed", "remote", conn.RemoteAddr().String())
+		in, ping, reason := parse(sc.Bytes(), known)
+		if reason != "" {
+			slog.Warn("garbage on the peer port, connection closed", "remote", conn.RemoteAddr().String(), "reason", reason)
 			return
 		}
-		if j.Kind == kindPing {
+		if ping {
 			conn.SetWriteDeadline(time.Now().Add(deadAfter))
 			if _, err := io.WriteString(conn, "\n"); err != nil {
 				return
 			}
 			continue
 		}
-		msg := core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID, Schedule: j.Schedule}
+		m.inbox <- in
+	}
+}
+
+// parse reads a line; reason says why it is none that a controller sends. The core
+// takes what passes as it is: a call without what it asks for, or an answer that HTTP
+// has no status for, would end the process that serves it.
+func parse(line []byte, known map[string]bool) (in core.PeerIn, ping bool, reason string) {
+	var j messageJSON
+	if err := json.Unmarshal(line, &j); err != nil {
+		return in, false, "not a message: " + err.Error()
+	}
+	if !known[j.From] {
+		return in, false, "from: not one of the seeds"
+	}
+	in = core.PeerIn{From: j.From, Msg: core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID, Schedule: j.Schedule}}
+	switch j.Kind {
+	case kindPing:
+		return in, true, ""
+	case core.PeerLeader, core.PeerAck:
+		if j.Term == 0 || j.Term > core.MaxTerm {
+			return in, false, "term: out of range"
+		}
+	case core.PeerCall:
 		if j.Spec != nil {
 			s, ok := j.Spec.Decode()
 			if !ok {
-				slog.Warn("garbage on the peer port, connection closed", "remote", conn.RemoteAddr().String())
-				return
+				return in, false, "spec: not a job"
 			}
-			msg.Spec = &s
+			in.Msg.Spec = &s
 		}
-		if a := j.Answer; a != nil {
-			msg.Answer = &core.AnswerUser{Status: a.Status, RetryAfter: time.Duration(a.RetryMS) * time.Millisecond,
-				View: core.JobView{ID: a.ViewID, State: a.State, Done: a.Done, Running: a.Running}, Field: a.Field, Reason: a.Reason, ETag: a.ETag}
-			if len(a.Doc) > 0 {
-				msg.Answer.Doc = a.Doc
-			}
+		if !in.Msg.Sound() {
+			return in, false, "op: not a call that a node forwards"
+		}
+	case core.PeerAnswer:
+		a := j.Answer
+		if a == nil || a.Status < 200 || a.Status > 599 || a.RetryMS < 0 || a.RetryMS > maxRetry.Milliseconds() || a.Done < 0 || a.Running < 0 || !a.State.Known() {
+			return in, false, "answer: not one that a node gives"
 		}
-		m.inbox <- core.PeerIn{From: j.From, Msg: msg}
+		in.Msg.Answer = &core.AnswerUser{Status: a.Status, RetryAfter: time.Duration(a.RetryMS) * time.Millisecond,
+			View: core.JobView{ID: a.ViewID, State: a.State, Done: a.Done, Running: a.Running}, Field: a.Field, Reason: a.Reason, ETag: a.ETag}
+		if len(a.Doc) > 0 {
+			in.Msg.Answer.Doc = a.Doc
+		}
+	default:
+		return in, false, "kind: no such kind"
 	}
+	return in, false, ""
 }
+
+// maxRetry is far above any time that an answer says to come back after.
+const maxRetry = time.Hour
--- /dev/null
+++ b/internal/scenario/drill_test.go
@@ -0,0 +1,172 @@
+package scenario
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+// site is what the drills play on: three machines up, more to be rented.
+const site = `
+team t max=40
+team u cpus=8 max=16
+type s cpus=8 mem=64 rate=0.4 low=0.1 ready=1s fetch=10
+capacity s a n=4 spot=4
+capacity s b n=4
+machines s a n=2
+machines s b n=1
+`
+
+// TestDrillLeaderKilled: the leader dies with tasks on machines, one of which
+// nobody can reach; the next one accounts for all of them.
+func TestDrillLeaderKilled(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(3, nil)
+	f.leader()
+	j := f.job("wk-1", "tasks=20", "run=6s")
+	k := f.job("wk-2", "tasks=8", "owner=u", "run=5s")
+	f.until("tasks run", func() bool { return f.on("wk-1") > 5 })
+	l := f.leader()
+	f.with(func() {
+		ms := f.script.busiest(1)
+		f.net.split(map[string]bool{ms[0].host: true}, nil, true, 20*time.Second)
+	})
+	l.kill()
+	f.until("the jobs are done", told(core.Done, j, k))
+	l.start()
+	f.until("all ready", func() bool { return ps[0].healthy && ps[1].healthy && ps[2].healthy })
+}
+
+// works checks that the cluster does what it is for: a new job is accepted and done.
+func (f *front) works(id string) {
+	f.t.Helper()
+	j := f.job(id, "tasks=3", "run=500ms")
+	f.until(id+" is done", told(core.Done, j))
+}
+
+// running checks that no process has ended by itself.
+func (f *front) running(ps []*proc) {
+	f.t.Helper()
+	for _, p := range ps {
+		if !p.runs() {
+			f.t.Fatalf("%s has ended:\n%s", p.n.name, strings.Join(p.tail(30), "\n"))
+		}
+	}
+}
+
+// tell writes lines to a node's peer port, as whoever can reach it might.
+func (p *proc) tell(lines ...string) {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.peers)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	for _, line := range lines {
+		if _, err := io.WriteString(c, line+"\n"); err != nil {
+			return // closed already, which is what is wanted
+		}
+	}
+	io.Copy(io.Discard, c) // until it is closed, by silence if by nothing else
+}
+
+// TestDrillPeerLines: lines on the peer port that no controller would send end no
+// process, and leave no cluster without a leader.
+func TestDrillPeerLines(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(3, nil)
+	f.leader()
+	f.works("wk-1")
+	claims := []string{`"kind":"leader","term":18446744073709551615}`, `"kind":"leader","term":4294967295}`, `"kind":"ack","term":18446744073709551615}`}
+	calls := []string{
+		`"kind":"call","ref":1,"op":"submit","id":"wk-5"}`,
+		`"kind":"call","ref":1,"op":"submit","id":"wk-5","spec":{"id":"wk-6","class":"c","owner":"t","tasks":1}}`,
+		`"kind":"call","ref":1,"op":"shout","id":"wk-5"}`,
+		`"kind":"call","ref":1,"op":"schedule put"}`,
+		`"kind":"call","ref":1,"op":"get","schedule":{}}`,
+		`"kind":"call","ref":1,"op":"schedule upcoming","schedule":{"name":"x","count":2000000000}}`,
+		`"kind":"answer","ref":1,"answer":{"status":0}}`,
+		`"kind":"answer","ref":1,"answer":{"status":-7,"state":"?","retryMs":-9223372036854775808}}`,
+		`"kind":"shout"}`, `"kind":`, `"kind":"call"` + strings.Repeat(`,"x":`, 9) + strings.Repeat("[", 60000), "\xff\xfe\x00",
+	}
+	for _, lines := range [][]string{calls, claims} {
+		var all sync.WaitGroup
+		for i, p := range ps {
+			for _, line := range append([]string{"null", "{}"}, lines...) {
+				all.Go(func() { p.tell(`{"from":"` + ps[(i+1)%len(ps)].n.name + `",` + line) })
+			}
+		}
+		all.Wait()
+		f.running(ps)
+	}
+	f.works("wk-2")
+	l := f.leader()
+	l.kill()
+	f.works("wk-3")
+}
+
+// TestDrillClaimedEpoch: a worker that says it has seen an epoch which no leader
+// ever had makes itself useless, and nobody else.
+func TestDrillClaimedEpoch(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(2, nil)
+	l := f.leader()
+	f.works("wk-1")
+	term := l.metric("yewpass_term")
+	for i := range 12 {
+		for _, p := range ps {
+			rep := core.Report{Host: "host-stray", Address: "127.0.0.1:9", Flavor: "s", Zone: "a", Tenure: 1, Counter: uint64(i), Epoch: 1<<64 - 1}
+			if status, _, _ := p.do("POST", "/hello", reportBody(rep)); status == 200 {
+				t.Error("a report that will be dropped is answered with 200")
+			}
+		}
+	}
+	f.running(ps)
+	f.works("wk-2")
+	if got := f.leader().metric("yewpass_term"); got != term {
+		t.Errorf("term %g has become %g", term, got)
+	}
+}
+
+// TestDrillSlowClients: clients that send a byte at a time, or never read their
+// TestDrillStandardError: whoever reads a controller's log goes away, or stays and
+// TestDrillTermRecord: what says which term it is cannot be read, or is gone, or
+// the leader's key stands without a grant. The cluster finds a leader, whose term is
+// TestDrillBadRecords: records that cannot be read are an alert each; their jobs
+// get 503, never 404, and all the others are served. A record of machines that
+// TestDrillPaused: a leader stands still for longer than its grant while tasks
+// run, and goes on where it was. Another leads by then.
+func TestDrillPaused(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(3, nil)
+	l := f.leader()
+	j := f.job("wk-1", "tasks=30", "run=4s", "owner=u")
+	f.until("tasks run", func() bool { return f.on("wk-1") > 5 })
+	for range 2 {
+		l = f.leader()
+		l.cmd.Process.Signal(syscall.SIGSTOP)
+		f.until("another leads", func() bool {
+			for _, p := range ps {
+				if p != l && p.said("leadership won") && p.healthy {
+					return true
+				}
+			}
+			return false
+		})
+		l.cmd.Process.Signal(syscall.SIGCONT)
+	}
+	f.until("the job is done", told(core.Done, j))
+	f.running(ps)
+}
+
+// TestDrillOpenFiles: the system lets the process open fewer files than its
+// settings promise. Users are turned away, and the leader keeps what it needs for
+// TestDrillFaultyServices: a list that never ends, a catalog of amounts that no
+// machine has, a front that answers 404 or 200 to everything. The controller neither
--- a/internal/spec/spec.go
+++ b/internal/spec/spec.go
@@ -90,6 +90,24 @@
 	MaxName = 512
 )
 
+// What a job may ask for at the most. Sums over MaxTasks tasks, in thousandths, stay
+// far below what a number holds.
+const (
+	maxCPUs = 1e6
+	maxGB   = 1e7
+	maxSpan = 1e8 * time.Second
+)
+
+// Sound reports whether a description that came from elsewhere than a submission, a
+// record or a peer, is one that a submission could have made.
+func (s *Job) Sound() bool {
+	within := func(x, most float64) bool { return x >= 0 && x <= most }
+	span := func(d time.Duration) bool { return d >= 0 && d <= maxSpan }
+	return ValidID(s.ID) && s.Tasks > 0 && s.Tasks <= MaxTasks && s.Urgency >= Idle && s.Urgency <= Production &&
+		within(s.CPUs, maxCPUs) && within(s.GPUs, maxCPUs) && within(s.MemGB, maxGB) && within(s.ImageGB, maxCPUs) &&
+		span(s.Runtime) && span(s.SnapshotEvery) && span(s.Snapshot) && span(s.Due)
+}
+
 // ValidID reports whether id has the form of a job id: the prefix and 1 to 32
 // digits.
 func ValidID(id string) bool {
@@ -135,7 +153,7 @@
 		return *p
 	}
 	span := func(name string, p *float64) time.Duration {
-		return time.Duration(math.Round(number(name, p, 1e8)*1000)) * time.Millisecond
+		return time.Duration(math.Round(number(name, p, maxSpan.Seconds())*1000)) * time.Millisecond
 	}
 	out := &Job{ID: text("id", j.ID)}
 	if out.ID != "" && !ValidID(out.ID) {
@@ -162,8 +180,8 @@
 	default:
 		out.Tasks = *j.Shards
 	}
-	out.CPUs, out.GPUs, out.MemGB = number("vcpus", j.VCPUs, 1e6), number("gpus", j.GPUs, 1e6), number("memGb", j.MemGB, 1e7)
-	out.Image, out.ImageGB = text("bundle", j.Bundle), number("sizeGb", j.SizeGB, 1e6)
+	out.CPUs, out.GPUs, out.MemGB = number("vcpus", j.VCPUs, maxCPUs), number("gpus", j.GPUs, maxCPUs), number("memGb", j.MemGB, maxGB)
+	out.Image, out.ImageGB = text("bundle", j.Bundle), number("sizeGb", j.SizeGB, maxCPUs)
 	if j.Flavors != nil {
 		if len(*j.Flavors) == 0 || len(*j.Flavors) > 100 {
 			bad("flavors", "empty or too long")
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -319,12 +320,18 @@
 
 // Decode turns a record into the description; false if it cannot be one.
 func (r SpecRecord) Decode() (core.JobSpec, bool) {
-	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	ok := r.ID != "" && r.Tasks > 0 && r.Tasks <= core.MaxTasks && r.Urgency >= core.Idle && r.Urgency <= core.Production
-	return core.JobSpec{ID: r.ID, Class: r.Class, Owner: r.Owner, Service: r.Service, Urgency: r.Urgency, Tasks: r.Tasks,
+	// Beyond this a number of milliseconds would turn round as a duration.
+	ms := func(n int64) time.Duration {
+		if n < 0 || n > int64(math.MaxInt64/time.Millisecond) {
+			return -1
+		}
+		return time.Duration(n) * time.Millisecond
+	}
+	s := core.JobSpec{ID: r.ID, Class: r.Class, Owner: r.Owner, Service: r.Service, Urgency: r.Urgency, Tasks: r.Tasks,
 		CPUs: r.CPUs, GPUs: r.GPUs, MemGB: r.MemGB, Image: r.Image, ImageGB: r.ImageGB, Flavors: r.Flavors, Zone: r.Zone,
 		SamePlace: r.SamePlace, Apart: r.Apart, Reclaimable: r.Reclaimable, Runtime: ms(r.RuntimeMS),
-		SnapshotEvery: ms(r.SnapshotEveryMS), Snapshot: ms(r.SnapshotMS), Due: ms(r.DueMS), Dated: r.Dated}, ok
+		SnapshotEvery: ms(r.SnapshotEveryMS), Snapshot: ms(r.SnapshotMS), Due: ms(r.DueMS), Dated: r.Dated}
+	return s, s.Sound()
 }
 
 func encodeValue(v any) any {
