--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -142,7 +142,7 @@
 func (c *Core) reportIn(in ReportIn) {
 	l := c.lead
 	rep := &in.Report
-	if l != nil && rep.Epoch > l.term {
+	if l != nil && rep.Epoch > l.term && !c.leads() {
 		c.stepDown("a worker has seen a newer epoch")
 		l = nil
 	}
@@ -150,6 +150,12 @@
 	case l == nil:
 		c.emit(AnswerReport{Ref: in.Ref, Status: 421, Upstream: c.hint})
 		return
+	case rep.Epoch > l.term:
+		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		c.strayEpoch(rep.Host, rep.Epoch, func() {
+			c.release(c.machine(rep.Host, rep.Flavor, rep.Zone, rep.Reclaimable))
+		})
+		return
 	case !c.leads() && c.now.After(l.until.Add(c.hold)):
 		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
 		return
@@ -191,6 +197,18 @@
 	c.reply(m, false)
 }
 
+// strayEpoch: a worker says that it has seen a newer epoch than ours. If there was
+// none, it drops all that we say to it, for ever: it is of no use, and its word must
+// not end the term for all the others.
+func (c *Core) strayEpoch(host string, epoch uint64, useless func()) {
+	c.doubt("a worker has seen a newer epoch", func() {
+		c.note(slog.LevelWarn, "worker has seen an epoch that never was", "machine", host, "claimed", epoch, "term", c.lead.term)
+		if c.lead.loaded && !c.lead.gone[host] {
+			useless()
+		}
+	})
+}
+
 // unhold takes away the report that a machine waits on and returns its number.
 func (c *Core) unhold(m *machine) uint64 {
 	ref := m.held.ref
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -51,8 +51,7 @@
 		switch {
 		case !l.owed[m.host] || m.reported || m.releasing:
 		case r.Outcome != Unknown && rep.Epoch > l.term:
-			c.stepDown("a worker has seen a newer epoch")
-			return
+			c.strayEpoch(m.host, rep.Epoch, func() { c.release(m) })
 		case r.Outcome != Unknown && rep.Host != m.host:
 			// Another machine has the address now.
 		case r.Outcome == OK && rep.Epoch == l.term:
