--- a/cmd/yewpass/main.go
+++ b/cmd/yewpass/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -16,11 +17,25 @@
 
 func main() {
 	if err := root().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "yewpass:", err)
+		lastWords(err)
 		os.Exit(exitCode(err))
 	}
 }
 
+// lastWords says what ended the program, if standard error takes it: a pipe that
+// nobody reads must not keep a process that has failed from being started again.
+func lastWords(err error) {
+	said := make(chan struct{})
+	go func() {
+		fmt.Fprintln(os.Stderr, "yewpass:", err)
+		close(said)
+	}()
+	select {
+	case <-said:
+	case <-time.After(time.Second):
+	}
+}
+
 func root() *cobra.Command {
 	var settings, ops string
 	cmd := &cobra.Command{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,11 +8,10 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"runtime"
 	"runtime/debug"
-	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"yewpass/internal/api"
@@ -24,18 +23,6 @@
 	"yewpass/internal/state"
 )
 
-// SetupLog sends structured logs to standard error at the level that LOG_LEVEL
-// names.
-func SetupLog() {
-	level := slog.LevelInfo
-	if s := os.Getenv("LOG_LEVEL"); s != "" {
-		if err := level.UnmarshalText([]byte(strings.ToUpper(s))); err != nil {
-			level = slog.LevelInfo
-		}
-	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-}
-
 // limits makes the runtime keep to the machine. The collector runs rarely while
 // the heap is small, and as often as it must near the limit.
 func limits(cfg *config.Config) {
@@ -60,7 +47,6 @@
 		return err
 	}
 	inbox := make(chan any, 1024)
-	var ready atomic.Bool
 	n := &node{
 		core:    core.New(cfg, ops.Policy, ops.Calendars, binary.LittleEndian.Uint64(seed[:])),
 		state:   state.New(cfg.External.State, inbox),
@@ -69,14 +55,14 @@
 		mesh:    peer.New(cfg.HostName, cfg.Seeds, peers, inbox),
 		waiting: map[uint64]chan<- any{},
 		refs:    map[chan<- any]uint64{},
-		ready:   &ready,
 		gauges:  newGauges(),
+		began:   time.Now(),
 	}
 	failed := make(chan error, 1)
 	go func() {
 		// What is left after peers, state, cloud, probes and some spare.
-		conns := max(16, cfg.Settings.Limits.MaxConnections*9/10-64)
-		failed <- api.Serve(clients, conns, inbox, &ready)
+		conns := max(16, sockets(cfg)*9/10-64)
+		failed <- api.Serve(clients, conns, inbox, n.isReady)
 	}()
 	slog.Info("node started", "node", cfg.HostName, "zone", cfg.Site)
 	return n.loop(inbox, failed)
@@ -91,7 +77,9 @@
 	ref     uint64
 	waiting map[uint64]chan<- any // whom to answer
 	refs    map[chan<- any]uint64
-	ready   *atomic.Bool
+	ready   atomic.Bool
+	beat    atomic.Int64 // when the core last took an input, since began
+	began   time.Time
 	gauges  *gauges
 	shown   time.Time // when the gauges were last set
 	later   later
@@ -129,6 +117,7 @@
 			n.do(o)
 		}
 		n.ready.Store(n.core.Ready())
+		n.beat.Store(int64(now.Sub(n.began)))
 		if now.Sub(n.shown) >= time.Second {
 			n.shown = now
 			s := n.core.Stats()
@@ -138,6 +127,28 @@
 	}
 }
 
+// stuckAfter is how long the core may stand still and the node still counts as
+// ready. It takes an input every second at the least.
+const stuckAfter = 4 * time.Second
+
+// isReady is what the load balancer is told. It is asked beside the core, which
+// must not be said to be ready when it has not said so itself for a while.
+func (n *node) isReady() bool {
+	return n.ready.Load() && time.Since(n.began)-time.Duration(n.beat.Load()) < stuckAfter
+}
+
+// sockets is how many sockets the node may have: what its settings say, or less
+// where the system lets a process open fewer files.
+func sockets(cfg *config.Config) int {
+	most := cfg.Settings.Limits.MaxConnections
+	var files syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files) != nil || files.Cur >= uint64(most) {
+		return most
+	}
+	slog.Warn("the system allows fewer open files than max_connections", "max_connections", most, "files", files.Cur)
+	return int(files.Cur)
+}
+
 // sendAway tells a user at once to come back: more calls wait than can be taken
 // in time.
 func (n *node) sendAway(in any) {
