--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -10,12 +10,10 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
-	"golang.org/x/net/netutil"
 
 	"yewpass/internal/core"
 	"yewpass/internal/spec"
@@ -39,18 +37,22 @@
 	userWait = 4500 * time.Millisecond
 	// Workers give up on a reply after 4 s.
 	reportWait = 3900 * time.Millisecond
+	// transferWait bounds how long a request may take to come in, and its answer
+	// to be taken: whoever is slower does not keep a connection.
+	transferWait = 10 * time.Second
 )
 
 // Server is the actor that serves client_listen.
 type Server struct {
 	inbox chan<- any
-	ready *atomic.Bool
+	ready func() bool
+	conns *connections
 }
 
 // Serve serves on ln until it fails. At most maxConns connections are open at a
 // time.
-func Serve(ln net.Listener, maxConns int, inbox chan<- any, ready *atomic.Bool) error {
-	s := &Server{inbox, ready}
+func Serve(ln net.Listener, maxConns int, inbox chan<- any, ready func() bool) error {
+	s := &Server{inbox, ready, newConnections(maxConns)}
 	r := httprouter.New()
 	r.POST("/v2/runs", s.submit)
 	r.GET("/v2/runs/:id", s.get)
@@ -69,9 +71,10 @@
 	})
 	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
 	srv := &http.Server{
-		Handler: r, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10,
+		Handler: r, ReadTimeout: transferWait, WriteTimeout: transferWait, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10,
 	}
-	return srv.Serve(netutil.LimitListener(ln, maxConns))
+	s.conns.watch(srv)
+	return srv.Serve(ln)
 }
 
 func write(w http.ResponseWriter, status int, v any) {
@@ -99,7 +102,7 @@
 }
 
 func (s *Server) isReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	if s.ready.Load() {
+	if s.ready() {
 		write(w, http.StatusOK, struct{}{})
 		return
 	}
@@ -154,6 +157,7 @@
 
 func (s *Server) user(w http.ResponseWriter, r *http.Request, call core.UserCall) {
 	began := time.Now()
+	s.conns.hasRequest(r, false)
 	reply := make(chan any, 1)
 	s.inbox <- Call{call, reply}
 	t := time.NewTimer(userWait)
@@ -178,8 +182,10 @@
 		}
 		write(w, a.Status, viewJSON{call.ID, a.View.State, a.View.Done, a.View.Running})
 	case <-t.C:
+		s.inbox <- Gone{reply}
 		fail(w, http.StatusServiceUnavailable, "", "the service is behind", time.Second)
 	case <-r.Context().Done():
+		s.inbox <- Gone{reply}
 	}
 }
 
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -23,7 +23,7 @@
 	}
 	inbox := make(chan any, 16)
 	var ready atomic.Bool
-	go Serve(ln, 16, inbox, &ready)
+	go Serve(ln, 16, inbox, ready.Load)
 	go func() {
 		for in := range inbox {
 			if c, ok := in.(Call); ok {
--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -101,6 +101,7 @@
 		return
 	}
 	reports.Inc()
+	s.conns.hasRequest(r, true)
 	reply := make(chan any, 1)
 	s.inbox <- Call{core.ReportIn{Report: rep}, reply}
 	t := time.NewTimer(reportWait)
--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -170,3 +172,105 @@
 // settings promise. Users are turned away, and the leader keeps what it needs for
 // TestDrillFaultyServices: a list that never ends, a catalog of amounts that no
 // machine has, a front that answers 404 or 200 to everything. The controller neither
+
+// answers, take all connections; reports, probes and users still get through.
+func TestDrillSlowClients(t *testing.T) {
+	f := newFront(t, site)
+	f.cfg.Settings.Limits.MaxConnections = 120
+	ps := f.controllers(2, nil)
+	l := f.leader()
+	f.works("wk-1")
+	stop := make(chan struct{})
+	defer close(stop)
+	for i := range 200 {
+		go func() {
+			for {
+				c, err := net.DialTimeout("tcp", l.clients, time.Second)
+				if err == nil {
+					io.WriteString(c, "POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n")
+					for err == nil {
+						select {
+						case <-stop:
+							c.Close()
+							return
+						case <-time.After(200 * time.Millisecond):
+						}
+						_, err = c.Write([]byte(" "))
+					}
+					c.Close()
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(100+i) * time.Millisecond):
+				}
+			}
+		}()
+	}
+	time.Sleep(2 * time.Second) // as long as it takes them to be there
+	// New connections: a probe, a report, a poll.
+	got, want := 0, 20
+	for range want {
+		c := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		if r, err := c.Get("http://" + l.clients + "/ready"); err == nil {
+			r.Body.Close()
+			got++
+		}
+	}
+	if got < want*3/4 {
+		t.Errorf("%d of %d probes are answered", got, want)
+	}
+	f.works("wk-2")
+	f.running(ps)
+	if f.leader() != l {
+		t.Error("the leader has changed")
+	}
+}
+
+// reads no more. Neither may end or hold up the controller.
+func TestDrillStandardError(t *testing.T) {
+	for _, how := range []string{"closed", "blocked"} {
+		t.Run(how, func(t *testing.T) {
+			f := newFront(t, site)
+			ps := f.controllers(1, func(p *proc) { p.stopReading = true })
+			f.leader()
+			if how == "closed" {
+				ps[0].pipe.Close()
+			}
+			for i := range 60 { // each is a line in the log, or two
+				ps[0].do("POST", "/hello", reportBody(core.Report{Host: "host-" + strconv.Itoa(i), Address: "127.0.0.1:9", Flavor: "s", Zone: "a", Tenure: 1, Counter: 1}))
+			}
+			for i := range 3 {
+				f.works("wk-" + strconv.Itoa(100+i))
+			}
+			f.running(ps)
+		})
+	}
+}
+
+// itself.
+func TestDrillOpenFiles(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(1, func(p *proc) { p.shell = "ulimit -n 96;" })
+	l := f.leader()
+	f.works("wk-1")
+	term := l.metric("yewpass_term")
+	var held []net.Conn
+	for range 150 { // clients that are there, and idle
+		if c, err := net.DialTimeout("tcp", l.clients, time.Second); err == nil {
+			held = append(held, c)
+			io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		}
+	}
+	defer func() {
+		for _, c := range held {
+			c.Close()
+		}
+	}()
+	time.Sleep(4 * time.Second) // past the grant
+	f.works("wk-2")
+	f.running(ps)
+	if got := l.metric("yewpass_term"); got != term {
+		t.Errorf("term %g has become %g", term, got)
+	}
+}
