--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -46,6 +46,9 @@
 	Upstream string `json:"upstream,omitempty"`
 }
 
+// maxNotice bounds the seconds of a notice. One that has run out may be below 0.
+const maxNotice = 1e8
+
 // report checks a report; "" or what is wrong with it.
 func (j *reportJSON) report() (core.Report, string) {
 	r := core.Report{Host: j.Host, Address: j.Address, Flavor: j.Flavor, Zone: j.Hall, Reclaimable: j.Reclaimable, Epoch: j.Epoch}
@@ -70,6 +73,9 @@
 	}
 	r.Tenure, r.Counter = *j.Tenure, *j.Counter
 	if j.WarningS != nil {
+		if !(*j.WarningS >= -maxNotice && *j.WarningS <= maxNotice) {
+			return r, "warningS"
+		}
 		r.HasNotice = true
 		r.Notice = time.Duration(*j.WarningS * float64(time.Second))
 	}
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -131,12 +132,12 @@
 			return unknown
 		}
 		for _, f := range a.Flavors {
-			if f.Name == "" || f.VCPUs <= 0 {
+			if !f.sound() {
 				return unknown
 			}
 			r.Flavors = append(r.Flavors, core.Flavor{Name: f.Name, Capacity: timeline.Capacity(f.VCPUs, f.GPUs, f.MemGB),
 				CPUs: f.VCPUs, LocalGB: f.LocalGB, FetchGBps: f.FetchGBps, Rate: f.Rate, LowRate: f.LowPrice,
-				Ready: seconds(f.ReadyS), Zones: f.Halls})
+				Ready: timeline.Seconds(f.ReadyS), Zones: f.Halls})
 		}
 	case core.CloudRent:
 		var a hostsJSON
@@ -152,13 +153,25 @@
 		if json.Unmarshal(data, &a) != nil {
 			return unknown
 		}
-		r.More = a.Truncated
+		r.More = a.Truncated && len(a.Hosts) > 0
+		after := call.After
 		for _, h := range a.Hosts {
+			// In order and behind what was asked for, or the list might never end.
+			if h.ID <= after {
+				return unknown
+			}
+			after = h.ID
 			r.Listed = append(r.Listed, core.Listed{Host: h.ID, Flavor: h.Flavor, Zone: h.Hall, Status: h.Status,
-				Reclaimable: h.Reclaimable, Age: seconds(h.AgeS)})
+				Reclaimable: h.Reclaimable, Age: timeline.Seconds(h.AgeS)})
 		}
 	}
 	return r
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// sound reports whether a machine type has amounts that a machine can have.
+func (f *flavorJSON) sound() bool {
+	within := func(most float64, xs ...float64) bool {
+		return !slices.ContainsFunc(xs, func(x float64) bool { return !(x >= 0 && x <= most) })
+	}
+	return f.Name != "" && f.VCPUs >= 0.001 && within(1e6, f.VCPUs, f.GPUs, f.FetchGBps, f.LocalGB) && within(1e7, f.MemGB, f.ReadyS, f.Rate, f.LowPrice)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"yewpass/internal/timeline"
 	"yewpass/internal/tomltext"
 )
 
@@ -40,7 +41,7 @@
 type Seconds float64
 
 // Duration returns s as a duration.
-func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+func (s Seconds) Duration() time.Duration { return timeline.Seconds(float64(s)) }
 
 // Workers holds the times of the worker protocol.
 type Workers struct {
@@ -117,6 +118,10 @@
 	return &c, c.check()
 }
 
+// most bounds the numbers of the file. No deployment comes near it, and sums and
+// products of numbers below it fit.
+const most = 1e8
+
 func (c *Config) check() error {
 	if c.HostName == "" {
 		return errors.New("host_name: missing")
@@ -145,12 +150,24 @@
 		}
 	}
 	s := &c.Settings
+	// TOML has nan and inf. A limit that is no number would be none: quotas off.
+	amount := func(v float64) bool { return v >= 0 && v <= most }
+	teams := map[string]bool{}
 	for i, t := range s.Teams {
 		switch {
 		case t.Name == "":
 			return fmt.Errorf("settings.teams[%d].name: missing", i)
-		case t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0:
-			return fmt.Errorf("settings.teams[%d]: an amount is negative", i)
+		case teams[t.Name]:
+			return fmt.Errorf("settings.teams[%d].name: %q is named twice", i, t.Name)
+		}
+		teams[t.Name] = true
+		for _, p := range []struct {
+			field string
+			v     float64
+		}{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
+			if !amount(p.v) {
+				return fmt.Errorf("settings.teams[%d].%s: must be 0 to %g", i, p.field, most)
+			}
 		}
 	}
 	for _, p := range []struct {
@@ -164,16 +181,16 @@
 		{"machine_limits.cpu_share", s.Limits.CPUShare}, {"machine_limits.mem_mb", s.Limits.MemMB},
 		{"machine_limits.max_connections", float64(s.Limits.MaxConnections)},
 	} {
-		if !(p.v > 0) {
-			return fmt.Errorf("settings.%s: must be more than 0", p.field)
+		if !(p.v > 0 && amount(p.v)) {
+			return fmt.Errorf("settings.%s: must be more than 0, at most %g", p.field, most)
 		}
 	}
-	if s.Cloud.ListLag < 0 {
-		return errors.New("settings.cloud.list_lag_s: is negative")
+	if !amount(float64(s.Cloud.ListLag)) {
+		return fmt.Errorf("settings.cloud.list_lag_s: must be 0 to %g", most)
 	}
 	for i, o := range s.Objectives {
-		if o.Within < 0 || o.Times < 0 || o.Share < 0 {
-			return fmt.Errorf("settings.objectives[%d]: a number is negative", i)
+		if !amount(float64(o.Within)) || !amount(o.Times) || !amount(o.Share) {
+			return fmt.Errorf("settings.objectives[%d]: a number is not from 0 to %g", i, most)
 		}
 	}
 	return nil
--- a/internal/core/bits.go
+++ b/internal/core/bits.go
@@ -71,13 +71,28 @@
 	return "=" + base64.RawStdEncoding.EncodeToString(raw)
 }
 
-// decodeChunk adds the members that encodeChunk wrote; false if s is malformed.
+// decodeChunk adds the members that encodeChunk wrote. If s is malformed it is false
+// and adds none: part of a damaged record would call tasks done that are not.
 func (b bitset) decodeChunk(from, tasks int, s string) bool {
+	read := newBitset(chunkTasks)
+	if !read.decode(min(chunkTasks, tasks-from), s) {
+		return false
+	}
+	for i, w := range read {
+		if w != 0 {
+			b[from/64+i] |= w
+		}
+	}
+	return true
+}
+
+// decode reads members below n from a string.
+func (b bitset) decode(n int, s string) bool {
 	add := func(i int) bool {
-		if i < 0 || i >= chunkTasks || from+i >= tasks {
+		if i < 0 || i >= n {
 			return false
 		}
-		b.set(from + i)
+		b.set(i)
 		return true
 	}
 	if s == "" {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,7 @@
 	lead      *leadership
 	hint      string // who leads, as far as we know
 	termMax   uint64 // the highest term heard of
+	keyRev    uint64 // of the leader's key when it was last read
 	confirmed uint64 // the newest that the state service has told us of
 	links     map[string]bool
 	apart     time.Time                       // since when we have no link to the leader that we know
--- a/internal/core/estimate.go
+++ b/internal/core/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"yewpass/internal/timeline"
 )
 
 // estimates corrects the owners' estimates by observed run times: by job once a
@@ -42,7 +44,7 @@
 		return 0
 	}
 	if j.took.n > 0 {
-		return time.Duration(j.took.mean * float64(time.Second))
+		return timeline.Seconds(j.took.mean)
 	}
 	return c.estimateSpec(&j.spec)
 }
@@ -50,7 +52,7 @@
 func (c *Core) estimateSpec(s *JobSpec) time.Duration {
 	d := s.Runtime
 	if o := c.lead.est[s.Class+"/"+s.Owner]; o != nil && o.n >= 5 {
-		d = time.Duration(float64(d) * min(max(o.mean, 0.3), 3))
+		d = timeline.Seconds(d.Seconds() * min(max(o.mean, 0.3), 3))
 	}
 	return max(d, 100*time.Millisecond)
 }
@@ -60,5 +62,5 @@
 	if f == nil || f.FetchGBps <= 0 {
 		return 0
 	}
-	return time.Duration(s.ImageGB / f.FetchGBps * float64(time.Second))
+	return timeline.Seconds(s.ImageGB / f.FetchGBps)
 }
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"maps"
 	"slices"
 	"time"
 )
@@ -132,3 +134,27 @@
 	}
 	l.groups = append(l.groups, g)
 }
+
+// loadUnknown takes in a record of machines that cannot be read. Which they are is
+// not known, so nothing shows that one of them is accounted for, but time: what
+// reports to us is known by that, and what does not has lost its lease by then.
+func (c *Core) loadUnknown(key string, rev uint64) {
+	c.lead.owed[key] = true
+	c.lead.lost[key] = rev
+}
+
+// reviewUnknown gives up on the machines of unreadable records once every lease
+// that an earlier leader can have renewed is over. Such a record then says nothing
+// more, and would hold up the next take-over as well.
+func (c *Core) reviewUnknown() {
+	l := c.lead
+	if len(l.lost) == 0 || !c.now.After(c.earlierLease()) {
+		return
+	}
+	for _, key := range slices.Sorted(maps.Keys(l.lost)) {
+		c.note(slog.LevelWarn, "unreadable record of machines is accounted for, dropping it", "key", key)
+		l.pipe.add(&change{lane: bulk, when: []Cond{{key, l.lost[key]}}, writes: []Write{{Key: key}}})
+		c.accounted(key)
+	}
+	clear(l.lost)
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -37,9 +38,11 @@
 	est        estimates
 
 	machines    map[string]*machine
-	fleet       []*machine      // the same, by name
-	gone        map[string]bool // released, proven gone: their late reports count for nothing
-	owed        map[string]bool // recorded machines that may hold an earlier term's tasks
+	fleet       []*machine        // the same, by name
+	gone        map[string]bool   // released, proven gone: their late reports count for nothing
+	owed        map[string]bool   // recorded machines that may hold an earlier term's tasks
+	unread      map[string]bool   // jobs whose records cannot be read
+	lost        map[string]uint64 // records of machines that cannot be read, by key; owed as well
 	rent        renting
 	grouped     uint64              // records of machines begun in this term
 	groups      []*group            // the records of the machines
@@ -82,21 +85,50 @@
 			c.after(c.jitter(400*time.Millisecond), c.watch)
 		case len(r.Entries) == 0 || r.Entries[0].Key != leaderKey:
 			// A small random delay keeps the nodes from all standing at once.
-			c.after(c.jitter(40*time.Millisecond), c.stand)
+			c.after(c.jitter(40*time.Millisecond), func() { c.stand(0) })
 		default:
-			rec, _ := r.Entries[0].Value.(*LeaderRecord)
-			if rec == nil {
+			c.watchRecord(r.Entries[0], r.Rev)
+		}
+	})
+}
+
+// watchRecord follows the leader's key, which is there.
+func (c *Core) watchRecord(e Entry, from uint64) {
+	rec, _ := e.Value.(*LeaderRecord)
+	known := e.Rev == c.keyRev
+	c.keyRev = e.Rev
+	if rec != nil {
+		c.recordedLeader(rec)
+	} else if !known {
+		c.note(slog.LevelError, "record is unreadable", "key", e.Key, "effect", "if its grant lives its leader goes on, unknown to us")
+	}
+	if rec == nil || known && !c.links[rec.Node] {
+		// A leader's key is under its grant. One that stands without, because it
+		// was damaged or brought back from a copy, stands for nobody, and would
+		// keep the nodes from a leader for ever.
+		c.store(StoreCall{Op: StoreGet, Key: leaderKey}, func(r StoreReply) {
+			switch {
+			case c.lead != nil:
+			case r.Outcome == OK && r.Entries[0].Rev == e.Rev && r.Entries[0].Grant == 0:
+				c.note(slog.LevelError, "leader's key has no grant, it is taken over", "key", e.Key)
+				c.after(c.jitter(40*time.Millisecond), func() { c.stand(e.Rev) })
+			case rec == nil:
 				c.after(c.jitter(time.Second), c.watch)
-				return
+			default:
+				c.followLeader(from)
 			}
-			c.recordedLeader(rec)
-			c.store(StoreCall{Op: StoreFollow, Key: leaderKey, FromRev: r.Rev, Wait: 20 * time.Second, Within: 25 * time.Second}, func(r StoreReply) {
-				if r.Outcome == OK {
-					c.watch()
-				} else {
-					c.after(c.jitter(400*time.Millisecond), c.watch)
-				}
-			})
+		})
+		return
+	}
+	c.followLeader(from)
+}
+
+func (c *Core) followLeader(from uint64) {
+	c.store(StoreCall{Op: StoreFollow, Key: leaderKey, FromRev: from, Wait: 20 * time.Second, Within: 25 * time.Second}, func(r StoreReply) {
+		if r.Outcome == OK {
+			c.watch()
+		} else {
+			c.after(c.jitter(400*time.Millisecond), c.watch)
 		}
 	})
 }
@@ -130,9 +162,9 @@
 	c.hint = node
 }
 
-// stand stands for election: one transaction takes the leader's key under a
-// short grant and raises the term.
-func (c *Core) stand() {
+// stand stands for election: one transaction takes the leader's key, which must be
+// at a revision (0: not there), under a short grant and raises the term.
+func (c *Core) stand(keyRev uint64) {
 	if c.lead != nil {
 		return
 	}
@@ -150,22 +182,18 @@
 			retry()
 		}
 		c.store(StoreCall{Op: StoreGet, Key: termKey}, func(t StoreReply) {
-			var term, rev uint64
-			switch {
-			case t.Outcome == OK:
-				rec, _ := t.Entries[0].Value.(*TermRecord)
-				if rec == nil {
-					drop()
-					return
-				}
-				term, rev = rec.Term, t.Entries[0].Rev
-			case t.Outcome != Missing:
+			if t.Outcome != OK && t.Outcome != Missing {
+				drop()
+				return
+			}
+			term, rev := c.nextTerm(t)
+			if term > MaxTerm {
+				c.note(slog.LevelError, "terms are used up", "key", termKey, "term", term)
 				drop()
 				return
 			}
-			term++
 			c.store(StoreCall{Op: StoreTxn,
-				When: []Cond{{leaderKey, 0}, {termKey, rev}},
+				When: []Cond{{leaderKey, keyRev}, {termKey, rev}},
 				Then: []Write{{leaderKey, &LeaderRecord{c.cfg.HostName, term}, g.Grant}, {termKey, &TermRecord{term}, 0}},
 			}, func(r StoreReply) {
 				// What was heard of terms does not count here, only the record: a
@@ -181,6 +209,28 @@
 	})
 }
 
+// nextTerm returns the term to begin and the revision that the term's key must have.
+//
+// A record that is damaged or gone must not begin the count anew: epochs and attempts
+// would fall and names of rentals repeat. No term was ever above the revision of the
+// transaction that began it, because each begins with a change of its own; so one
+// above the revision at hand is above them all.
+func (c *Core) nextTerm(t StoreReply) (term, rev uint64) {
+	if t.Outcome == Missing {
+		if term = max(t.Rev, c.confirmed) + 1; t.Rev > 0 {
+			c.note(slog.LevelWarn, "no term is on record, going on above the state service's revision", "key", termKey, "term", term)
+		}
+		return term, 0
+	}
+	e := t.Entries[0]
+	if rec, _ := e.Value.(*TermRecord); rec != nil {
+		return rec.Term + 1, e.Rev
+	}
+	term = max(e.Rev, c.confirmed) + 1
+	c.note(slog.LevelError, "record is unreadable", "key", termKey, "effect", "terms go on above its revision", "term", term)
+	return term, e.Rev
+}
+
 func authorityFrom(sent time.Time) time.Time {
 	return sent.Add(grantTTL - grantTTL/driftPart - slack/2)
 }
@@ -193,7 +243,7 @@
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
 		teams: map[string]*team{}, est: estimates{}, machines: map[string]*machine{},
-		gone: map[string]bool{}, owed: map[string]bool{}, holding: map[uint64]*machine{},
+		gone: map[string]bool{}, owed: map[string]bool{}, unread: map[string]bool{}, lost: map[string]uint64{}, holding: map[uint64]*machine{},
 		pipe: pipeline{
 			writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.9), max(st.TxnOps, int(st.WriteRPS*0.8))),
 			reqs:   rate.NewLimiter(rate.Limit(st.RPS*0.6), max(1, int(st.RPS*0.5))),
@@ -321,30 +371,47 @@
 	})
 }
 
+// loadEntry takes in a record of an earlier term. Its key says what must be in it;
+// anything else there cannot be read, whatever it is, and is left as it is.
 func (c *Core) loadEntry(e Entry) {
 	l := c.lead
-	switch v := e.Value.(type) {
-	case *JobRecord:
-		if l.jobs[v.Spec.ID] == nil {
+	unreadable := func(effect string) {
+		c.note(slog.LevelError, "record is unreadable", "key", e.Key, "effect", effect)
+	}
+	if id, ok := strings.CutPrefix(e.Key, jobKeys); ok {
+		if v, _ := e.Value.(*JobRecord); v == nil || v.Spec.ID != id {
+			l.unread[id] = true
+			unreadable("the job is not served")
+		} else if l.jobs[id] == nil {
 			c.addJob(v, true)
 		}
-	case *MachineRecord:
-		c.loadGroup(e.Key, v, e.Rev)
-	case *ProgressRecord:
+	} else if strings.HasPrefix(e.Key, machineKeys) {
+		if v, _ := e.Value.(*MachineRecord); v == nil {
+			unreadable("the take-over waits until every lease of an earlier term is over")
+			c.loadUnknown(e.Key, e.Rev)
+		} else {
+			c.loadGroup(e.Key, v, e.Rev)
+		}
+	} else if name, ok := strings.CutPrefix(e.Key, doneKeys); ok {
 		// Progress comes after jobs in key order, so the job is known by now.
-		id, chunk := splitChunkKey(e.Key[len(doneKeys):])
+		id, chunk := splitChunkKey(name)
 		j := l.jobs[id]
 		if j == nil {
-			// Left over by a job that is over.
-			l.pipe.add(&change{writes: []Write{{Key: e.Key}}, lane: bulk})
+			if !l.unread[id] { // left over by a job that is over
+				l.pipe.add(&change{writes: []Write{{Key: e.Key}}, lane: bulk})
+			}
+			return
+		}
+		if chunk < 0 || chunk*chunkTasks >= j.spec.Tasks {
+			unreadable("none, the job has no such tasks")
 			return
 		}
-		if chunk < 0 || chunk*chunkTasks >= j.spec.Tasks || !j.done.decodeChunk(chunk*chunkTasks, j.spec.Tasks, v.Ranges) {
-			c.note(slog.LevelError, "progress record is malformed, its tasks run again", "key", e.Key)
+		if v, _ := e.Value.(*ProgressRecord); v == nil || !j.done.decodeChunk(chunk*chunkTasks, j.spec.Tasks, v.Ranges) {
+			unreadable("its tasks run again")
 		}
 		j.chunkRev[chunk] = e.Rev
-	case nil:
-		c.note(slog.LevelError, "record is unreadable", "key", e.Key)
+	} else {
+		unreadable("none")
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -450,7 +450,7 @@
 	i := r.id.Index
 	if t.Cause == CauseDone {
 		m.strikes, m.suspect = 0, false
-		r.saved = j == nil || j.closing || c.lead.jobs[r.id.Job] != j
+		r.saved = j == nil && !c.lead.unread[r.id.Job] || j != nil && (j.closing || c.lead.jobs[r.id.Job] != j)
 		if j != nil && !r.saved && !j.halted() {
 			if was == TaskRuns && !r.began.IsZero() {
 				c.observe(j, m, c.now.Sub(r.began))
@@ -500,7 +500,7 @@
 	var os []Order
 	for _, r := range m.runs {
 		if r.phase == Exited {
-			if r.saved || r.job == nil || r.job.cancelled {
+			if r.saved || r.job == nil && !c.lead.unread[r.id.Job] || r.job != nil && r.job.cancelled {
 				os = append(os, Order{Verb: Reap, Task: r.id, Try: r.try})
 			}
 			continue
@@ -640,16 +640,22 @@
 		}
 		return m.answered.Add(withDrift(c.lease)), true
 	}
-	// An earlier leader may have gone on answering it, until its peers told it
-	// of our term or its hold ran out.
+	base := c.earlierLease()
+	if at := m.answered.Add(withDrift(c.lease)); at.After(base) {
+		base = at
+	}
+	return base, true
+}
+
+// earlierLease is when a lease is surely over that only earlier leaders renewed: one
+// may have gone on answering until its peers told it of our term or its hold ran out.
+func (c *Core) earlierLease() time.Time {
+	l := c.lead
 	base := l.since.Add(c.hold + slack)
 	if !l.ackedAt.IsZero() && l.ackedAt.Before(base) {
 		base = l.ackedAt
 	}
-	if m.answered.After(base) {
-		base = m.answered
-	}
-	return base.Add(withDrift(c.lease)), true
+	return base.Add(withDrift(c.lease))
 }
 
 // expire gives up on the tasks of a machine whose lease is surely over.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -87,7 +87,7 @@
 
 // stretched is how long a task of the job is booked for, without its image.
 func (c *Core) stretched(j *job) time.Duration {
-	return time.Duration(float64(c.estimate(j)) * (1 + c.lead.margin))
+	return timeline.Seconds(c.estimate(j).Seconds() * (1 + c.lead.margin))
 }
 
 // length is how long a booking of a task on the machine lasts.
@@ -150,7 +150,7 @@
 		switch o.Kind {
 		case "deadline":
 			if j.spec.Dated && o.Times > 1 {
-				f(aim{j.submitted.Add(time.Duration(float64(j.spec.Due) * o.Times)), true})
+				f(aim{j.submitted.Add(timeline.Seconds(j.spec.Due.Seconds() * o.Times)), true})
 			}
 		case "wait":
 			f(aim{j.submitted.Add(within + length), false})
@@ -614,7 +614,7 @@
 func (c *Core) lateness(s *JobSpec) time.Duration {
 	l := c.lead
 	j := &job{spec: *s, need: s.Need()}
-	run := time.Duration(float64(c.estimateSpec(s)) * (1 + l.margin))
+	run := timeline.Seconds(c.estimateSpec(s).Seconds() * (1 + l.margin))
 	best := time.Duration(1<<63 - 1)
 	for _, m := range l.fleet {
 		if m.eligible(j) {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -35,6 +35,7 @@
 	patience map[string]float64 // by type, how much longer than usual boots take at present
 	releases []string
 	freeing  bool
+	blind    bool // the cloud's catalog could not be read last time
 }
 
 type rental struct {
@@ -79,9 +80,14 @@
 			return
 		}
 		if r.Outcome != OK || len(r.Flavors) == 0 {
+			if !l.rent.blind {
+				l.rent.blind = true
+				c.note(slog.LevelWarn, "machine types cannot be read", "known", len(l.rent.flavors))
+			}
 			c.whenLeading(c.jitter(time.Second), c.fetchCatalog)
 			return
 		}
+		l.rent.blind = false
 		if len(l.rent.flavors) == 0 {
 			l.rent.flavors = r.Flavors
 			for _, m := range l.fleet {
@@ -113,8 +119,15 @@
 			return
 		}
 		got = append(got, r.Listed...)
-		if r.More && len(r.Listed) > 0 {
-			c.listMachines(r.Listed[len(r.Listed)-1].Host, got)
+		if r.More {
+			// As often as the cloud allows: a list that goes on and on must not
+			// use up what rentals and releases need.
+			next := r.Listed[len(r.Listed)-1].Host
+			if l.rent.limit.AllowN(c.now, 1) {
+				c.listMachines(next, got)
+			} else {
+				c.whenLeading(tickEvery, func() { c.listMachines(next, got) })
+			}
 			return
 		}
 		for _, h := range got {
@@ -207,7 +220,7 @@
 	l := c.lead
 	c.demand()
 	e := c.policyEnv()
-	secs := func(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
+	secs := timeline.Seconds
 	l.holdIdle, l.holdBusy = secs(c.pol.HoldIdle(e)), secs(c.pol.HoldBusy(e))
 	l.margin = c.pol.Margin(e)
 	silent, idle := secs(c.pol.SilentRelease(e)), secs(c.pol.IdleReturn(e))
@@ -232,6 +245,7 @@
 	for _, m := range slices.Clone(l.fleet) {
 		c.review(m, silent, takeover, idle, cutOff)
 	}
+	c.reviewUnknown()
 	c.keepWarm(c.pol.Warm(e))
 	c.giveBack()
 	c.consolidate()
@@ -279,7 +293,7 @@
 		}
 		last, wait = m.rentedAt, max(3*ready, ready+30*time.Second)
 		if p := l.rent.patience[m.flavorName]; p > 0 {
-			wait = time.Duration(float64(wait) * p)
+			wait = timeline.Seconds(wait.Seconds() * p)
 		}
 		if m.since.Add(3 * silent).After(last.Add(wait)) {
 			last, wait = m.since, 3*silent
@@ -536,7 +550,7 @@
 		}
 	}
 	total, _ := c.supply(false)
-	l.rent.backlog = time.Duration(work / max(total, 1) * float64(time.Second))
+	l.rent.backlog = timeline.Seconds(work / max(total, 1))
 	return cpus, work, ordinaryCPUs, ordinaryWork
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -219,6 +219,7 @@
 	Key   string
 	Value any // *JobRecord, *FinalRecord, *MachineRecord, *ProgressRecord, *LeaderRecord, *TermRecord, *NumberRecord, *schedule.Record, or nil when unreadable
 	Rev   uint64
+	Grant uint64 // that the key is attached to; known from StoreGet alone
 }
 
 // StoreReply answers a StoreCall.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -6,6 +6,7 @@
 	_ "embed"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -90,13 +91,19 @@
 	return p, nil
 }
 
+// most bounds what an expression gives: one divided by nothing is infinite.
+const most = 1e8
+
 func number(prog *vm.Program, e Env) float64 {
 	v, err := expr.Run(prog, e)
 	if err != nil {
 		return 0
 	}
 	f, _ := v.(float64)
-	return max(f, 0)
+	if math.IsNaN(f) { // 0/0, say
+		return 0
+	}
+	return min(max(f, 0), most)
 }
 
 // Refuse says whether to refuse a submission for now.
--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -274,3 +275,154 @@
 		t.Errorf("term %g has become %g", term, got)
 	}
 }
+
+// corrupt replaces what a key holds, as a fault of the disk below it might.
+func (f *front) corrupt(key, value string) {
+	f.t.Helper()
+	f.with(func() {
+		e := f.store.keys[key]
+		if e == nil {
+			f.t.Fatalf("no key %s in %q", key, f.store.sorted(""))
+		}
+		e.value = json.RawMessage(value)
+	})
+}
+
+// above every earlier one.
+func TestDrillTermRecord(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(2, nil)
+	f.leader()
+	f.works("wk-1")
+	for i, damage := range []func(){
+		func() { f.corrupt("yewpass/term", `{"type":"term","term":"x"}`) },
+		func() { f.corrupt("yewpass/term", `{"type":"term","term":18446744073709551615}`) },
+		func() { f.with(func() { delete(f.store.keys, "yewpass/term") }) },
+		func() { f.corrupt("yewpass/leader", `7`) },
+		func() {
+			f.with(func() { f.store.keys["yewpass/leader"].grant = 0 })
+			f.corrupt("yewpass/leader", `{"type":"leader","node":"n7","term":3}`)
+		},
+	} {
+		l := f.leader()
+		before := l.metric("yewpass_term")
+		damage()
+		l.kill()
+		f.works("wk-" + strconv.Itoa(10+i))
+		n := f.leader()
+		if after := n.metric("yewpass_term"); after <= before || after > 1e9 {
+			t.Errorf("damage %d: term %g is followed by %g", i, before, after)
+		}
+		if i < 4 && !ps[0].said("level=ERROR", "unreadable") && !ps[1].said("level=ERROR", "unreadable") && i != 2 {
+			t.Errorf("damage %d: no alert", i)
+		}
+		l.start()
+		f.until("both ready", func() bool { return ps[0].healthy && ps[1].healthy })
+	}
+}
+
+// cannot be read is no reason to believe that there are none.
+func TestDrillBadRecords(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(2, nil)
+	f.leader()
+	j := f.job("wk-1", "tasks=12", "run=8s")
+	bad := f.job("wk-2", "tasks=2", "run=60s")
+	odd := f.job("wk-3", "tasks=2", "run=60s")
+	f.until("tasks run", func() bool { return f.on("wk-1") > 5 && f.on("wk-2") == 2 && f.on("wk-3") == 2 })
+	l := f.leader()
+	var cut string
+	f.with(func() {
+		for _, m := range f.script.busiest(9) {
+			if len(m.tasks) > 0 && m.tasks[0].job == j {
+				cut = m.host
+			}
+		}
+		f.net.split(map[string]bool{cut: true}, nil, true, 9*time.Second)
+	})
+	f.corrupt("yewpass/live/job/wk-2", `{"type":"job","spec":{"id":"wk-2","tasks":-1}}`)
+	f.corrupt("yewpass/live/job/wk-3", `{"type":"progress","ranges":"0-1"}`)
+	var key string
+	f.with(func() { key = f.store.sorted("yewpass/live/machine/")[0] })
+	f.corrupt(key, `{"type":"machines","machines":7}`)
+	l.kill()
+	l.start()
+	f.until("the readable job is done", told(core.Done, j))
+	f.running(ps)
+	for _, p := range ps {
+		for _, b := range []*userJob{bad, odd} {
+			if status, _, _ := p.do("GET", "/v2/runs/"+b.spec.ID, nil); status != 503 {
+				t.Errorf("%s gets %d", b.spec.ID, status)
+			}
+			if status, _, _ := p.do("POST", "/v2/runs", submission(&b.spec)); status != 503 {
+				t.Errorf("%s submitted again gets %d", b.spec.ID, status)
+			}
+		}
+	}
+	f.works("wk-4")
+}
+
+// loops nor believes it, and goes on when it is over.
+func TestDrillFaultyServices(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(2, nil)
+	l := f.leader()
+	j := f.job("wk-1", "tasks=2", "run=25s")
+	f.until("wk-1 is accepted", func() bool { return j.accepted })
+	twist := func(what string, d time.Duration, g func(host, path string, status int, data []byte) (int, []byte)) {
+		calls := 0
+		f.with(func() {
+			f.twist = func(host, path string, status int, data []byte) (int, []byte) {
+				if host == "cloud" {
+					calls++
+				}
+				return g(host, path, status, data)
+			}
+		})
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			for _, p := range ps {
+				if status, _, _ := p.do("GET", "/v2/runs/wk-1", nil); status != 200 && status != 503 && status != 0 {
+					t.Errorf("%s: an accepted job gets %d", what, status)
+				}
+			}
+		}
+		n := 0
+		f.with(func() { f.twist = nil; n = calls })
+		if most := int((d.Seconds() + 2) * f.cfg.Settings.Cloud.RPS); n > most {
+			t.Errorf("%s: %d calls to the cloud in %s", what, n, d)
+		}
+		f.running(ps)
+		if status, _, _ := f.leader().do("GET", "/v2/runs/wk-1", nil); status != 200 {
+			t.Errorf("%s: afterwards an accepted job gets %d", what, status)
+		}
+	}
+	twist("an endless list of machines", 8*time.Second, func(host, path string, status int, data []byte) (int, []byte) {
+		if strings.HasPrefix(path, "/machines?") {
+			return 200, []byte(`{"hosts":[{"id":"host-zzz","flavor":"s","hall":"a","status":"running","ageS":1e300}],"truncated":true}`)
+		}
+		return status, data
+	})
+	twist("404 from a front", 4*time.Second, func(host, path string, status int, data []byte) (int, []byte) {
+		if host == "state" {
+			return 404, []byte("<html>no such host</html>")
+		}
+		return status, data
+	})
+	f.leader()
+	twist("200 from a front", 4*time.Second, func(host, path string, status int, data []byte) (int, []byte) {
+		if host == "state" {
+			return 200, []byte(`{}`)
+		}
+		return status, data
+	})
+	f.leader()
+	twist("another key's answer", 3*time.Second, func(host, path string, status int, data []byte) (int, []byte) {
+		if host == "state" && strings.HasPrefix(path, "/store/") {
+			return 200, []byte(`{"k":"yewpass/final/wk-1","v":{"type":"final","state":"cancelled","done":0},"keyRev":3}`)
+		}
+		return status, data
+	})
+	_ = l
+	f.until("wk-1 is done", told(core.Done, j))
+	f.works("wk-2")
+}
--- a/internal/scenario/schedule_scale_test.go
+++ b/internal/scenario/schedule_scale_test.go
@@ -162,12 +162,12 @@
 	w.store.reqs = 1
 	w.store.serve("n0", "GET", "/store?under=yewpass/schedule/&limit=100", nil, func(_ int, data []byte) { page = data })
 	set := w.calendars()
-	if n := len(state.Decode(core.StoreList, 200, page).Entries); n != 100 {
+	if n := len(state.Decode(core.StoreCall{Op: core.StoreList}, 200, page).Entries); n != 100 {
 		b.Fatal(n, "records in a page")
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		for _, e := range state.Decode(core.StoreList, 200, page).Entries {
+		for _, e := range state.Decode(core.StoreCall{Op: core.StoreList}, 200, page).Entries {
 			f, err := schedule.ParseJSON(e.Value.(*schedule.Record).File)
 			if err != nil {
 				b.Fatal(err)
--- a/internal/scenario/schedules.go
+++ b/internal/scenario/schedules.go
@@ -157,7 +157,7 @@
 	if k == nil {
 		return &schedule.Record{}, false
 	}
-	r, ok := state.Decode(core.StoreGet, 200, encode(object{"k": key, "v": k.value, "keyRev": k.rev})).Entries[0].Value.(*schedule.Record)
+	r, ok := state.Decode(core.StoreCall{Op: core.StoreGet, Key: key}, 200, encode(object{"k": key, "v": k.value, "keyRev": k.rev})).Entries[0].Value.(*schedule.Record)
 	return r, ok
 }
 
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -498,6 +499,10 @@
 		s.putSchedule(f[1], args(f[2:]))
 	case "pause", "resume", "remove", "start":
 		w.clerks[f[1]].ask(map[string]core.UserOp{"pause": core.OpSchedulePause, "resume": core.OpScheduleResume, "remove": core.OpScheduleDelete, "start": core.OpScheduleRun}[f[0]], args(f[2:]))
+	case "damage": // damage PREFIX VALUE: what the first key below the prefix holds
+		for _, k := range w.store.sorted(f[1])[:1] {
+			w.store.keys[k].value = json.RawMessage(f[2])
+		}
 	case "wander": // wander NODE D: its time of day goes D wrong
 		if n := s.node(f[1]); n != nil {
 			n.wander = span(f[2])
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -277,7 +277,7 @@
 			n := &storedGrant{s.now.Add(g.ttl), g.ttl}
 			s.grants[id] = n
 			s.watchGrant(id)
-			answer(200, encode(object{}))
+			answer(200, encode(object{"grant": id}))
 		}
 	default:
 		answer(400, nil)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -329,7 +329,7 @@
 		}, func(status int, data []byte) any {
 			r := core.StoreReply{Outcome: core.Unknown}
 			if status != 0 {
-				r = state.Decode(o.Op, status, data)
+				r = state.Decode(o, status, data)
 			}
 			r.Ref = o.Ref
 			return r
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -87,7 +87,7 @@
 	if !ok {
 		return core.StoreReply{Outcome: core.Unknown}
 	}
-	return Decode(call.Op, status, data)
+	return Decode(call, status, data)
 }
 
 // Request writes a call as the service's protocol has it.
@@ -121,53 +121,78 @@
 	return method, path, body
 }
 
-// Decode reads an answer. Whatever is not what the protocol promises is an
-// unknown outcome.
-func Decode(op core.StoreOp, status int, data []byte) core.StoreReply {
+// Decode reads an answer. Whatever is not what the protocol promises for this very
+// call is an unknown outcome: between us and the service there may be something that
+// answers in its place, and what is believed here decides who leads and what exists.
+func Decode(call core.StoreCall, status int, data []byte) core.StoreReply {
+	unknown := core.StoreReply{Outcome: core.Unknown}
+	var a answerJSON
+	parsed := json.Unmarshal(data, &a) == nil
 	switch status {
 	case http.StatusOK:
 	case http.StatusConflict:
-		var a answerJSON
-		if op == core.StoreTxn && json.Unmarshal(data, &a) == nil && len(a.Failed) > 0 {
+		if call.Op == core.StoreTxn && parsed && len(a.Failed) > 0 {
 			return core.StoreReply{Outcome: core.Conflict, Failed: a.Failed}
 		}
-		return core.StoreReply{Outcome: core.Unknown}
-	case http.StatusNotFound, http.StatusGone:
+		return unknown
+	case http.StatusNotFound:
+		r := core.StoreReply{Outcome: core.Missing}
+		if call.Op == core.StoreGet {
+			// That a record does not exist is believed from the service alone.
+			if !parsed || a.StoreRev == nil {
+				return unknown
+			}
+			r.Rev = *a.StoreRev
+		}
+		return r
+	case http.StatusGone:
 		return core.StoreReply{Outcome: core.Missing}
 	case http.StatusBadRequest:
 		return core.StoreReply{Outcome: core.Invalid}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return core.StoreReply{Outcome: core.Refused}
 	default:
-		return core.StoreReply{Outcome: core.Unknown}
+		return unknown
 	}
-	if op == core.StoreExtend || op == core.StoreDropGrant {
+	if call.Op == core.StoreDropGrant {
 		return core.StoreReply{Outcome: core.OK}
 	}
-	var a answerJSON
-	unknown := core.StoreReply{Outcome: core.Unknown}
-	if json.Unmarshal(data, &a) != nil {
+	if !parsed {
 		return unknown
 	}
 	r := core.StoreReply{Outcome: core.OK, More: a.Truncated}
 	if a.StoreRev != nil {
 		r.Rev = *a.StoreRev
 	}
-	switch op {
+	switch call.Op {
 	case core.StoreGet:
-		if a.K == "" || a.KeyRev == 0 {
+		if a.K != call.Key || a.KeyRev == 0 {
 			return unknown
 		}
-		r.Entries = []core.Entry{decodeEntry(a.entryJSON)}
+		e := decodeEntry(a.entryJSON)
+		if a.Grant != nil {
+			e.Grant = *a.Grant
+		}
+		r.Entries = []core.Entry{e}
 	case core.StoreList:
 		if a.Entries == nil && a.StoreRev == nil {
 			return unknown
 		}
+		after := call.From
 		for _, e := range a.Entries {
+			// In order and behind what was asked for: a page that is not would
+			// have us read for ever, or pass records over.
+			if e.K <= after || !strings.HasPrefix(e.K, call.Key) {
+				return unknown
+			}
+			after = e.K
 			r.Entries = append(r.Entries, decodeEntry(e))
 		}
-	case core.StoreGrant:
-		if a.Grant == nil {
+		if r.More && len(r.Entries) == 0 {
+			return unknown
+		}
+	case core.StoreGrant, core.StoreExtend:
+		if a.Grant == nil || call.Op == core.StoreExtend && *a.Grant != call.Grant {
 			return unknown
 		}
 		r.Grant = *a.Grant
@@ -382,7 +407,7 @@
 		}
 	case "final":
 		var f finalJSON
-		if json.Unmarshal(e.V, &f) == nil && (f.State == core.Done || f.State == core.Cancelled) {
+		if json.Unmarshal(e.V, &f) == nil && (f.State == core.Done || f.State == core.Cancelled) && f.Done >= 0 {
 			out.Value = &core.FinalRecord{State: f.State, Done: f.Done}
 		}
 	case "progress":
@@ -392,7 +417,8 @@
 		}
 	case "machine", "machines":
 		var m machineJSON
-		if json.Unmarshal(e.V, &m) == nil {
+		// A record that names nobody is none of ours: it would be dropped instead.
+		if json.Unmarshal(e.V, &m) == nil && (tag.Type == "machine" || len(m.Machines) > 0) {
 			rec := &core.MachineRecord{}
 			for _, h := range m.Machines {
 				rec.Machines = append(rec.Machines, core.RecordedMachine(h))
@@ -404,12 +430,12 @@
 		}
 	case "leader":
 		var l leaderJSON
-		if json.Unmarshal(e.V, &l) == nil && l.Node != "" {
+		if json.Unmarshal(e.V, &l) == nil && l.Node != "" && l.Term > 0 && l.Term <= core.MaxTerm {
 			out.Value = &core.LeaderRecord{Node: l.Node, Term: l.Term}
 		}
 	case "term":
 		var l leaderJSON
-		if json.Unmarshal(e.V, &l) == nil {
+		if json.Unmarshal(e.V, &l) == nil && l.Term > 0 && l.Term <= core.MaxTerm {
 			out.Value = &core.TermRecord{Term: l.Term}
 		}
 	case "schedule":
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -15,10 +15,21 @@
 	CPU, GPU, Mem int64
 }
 
+// most bounds an amount, in thousandths: above anything that input checks let through,
+// and far below where sums over all tasks of a job turn round.
+const most = 1 << 40
+
 // Thousandths turns a decimal amount into thousandths, rounded up for what a
-// task takes and down for what a machine has, so that rounding never overbooks.
+// task takes and down for what a machine has, so that rounding never overbooks. What
+// is no amount counts as more than any machine has, or as nothing.
 func Thousandths(x float64, up bool) int64 {
 	y := x * 1000
+	switch {
+	case math.IsNaN(y) && up, y > most:
+		return most
+	case math.IsNaN(y), y < -most:
+		return 0
+	}
 	if r := math.Round(y); math.Abs(y-r) < 1e-6*math.Max(1, math.Abs(y)) {
 		return int64(r)
 	}
@@ -28,6 +39,21 @@
 	return int64(math.Floor(y))
 }
 
+// Seconds turns a decimal number of seconds into a duration, Forever at the most:
+// beyond what a duration holds the conversion itself would give anything. What is no
+// number counts as 0.
+func Seconds(s float64) time.Duration {
+	switch limit := Forever.Seconds(); {
+	case math.IsNaN(s):
+		return 0
+	case s > limit:
+		return Forever
+	case s < -limit:
+		return -Forever
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
 // Need returns what a task takes.
 func Need(cpus, gpus, memGB float64) Resources {
 	return Resources{Thousandths(cpus, true), Thousandths(gpus, true), Thousandths(memGB, true)}
