--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,7 +58,16 @@
 		{`lease_s = 20.0`, ``, "settings.workers.lease_s"},
 		{`txn_ops = 48`, `txn_ops = "x"`, "settings.state.txn_ops"},
 		{`mem_mb = 98.0`, `mem_mb = nan`, "settings.machine_limits.mem_mb"},
+		{`cpus = 5.0`, `cpus_max = nan`, "settings.teams[0].cpus_max"}, // would have been no limit
+		{`cpus = 5.0`, `gpus_max = inf`, "settings.teams[0].gpus_max"},
+		{`[settings.workers]`, "[[settings.teams]]\nname = \"ops\"\n[settings.workers]", "settings.teams[1].name"},
+		{`lease_s = 20.0`, `lease_s = 1e300`, "settings.workers.lease_s"},
+		{`write_rps = 100.0`, `write_rps = inf`, "settings.state.write_rps"},
+		{`list_lag_s = 3.0`, `list_lag_s = nan`, "settings.cloud.list_lag_s"},
+		{`[settings.workers]`, "[[settings.objectives]]\nkind = \"wait\"\nwithin_s = nan\n[settings.workers]", "settings.objectives[0]"},
 		{`nodes = 2`, `nodes = `, "line"},
+		{`nodes = 2`, "nodes = 2\nnodes = 3", "line"},
+		{`nodes = 2`, "nodes = \"\xff\"", "line"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, x.from, x.to, 1)))
 		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
--- a/internal/core/bits_test.go
+++ b/internal/core/bits_test.go
@@ -33,9 +33,13 @@
 			}
 		}
 	}
-	for _, bad := range []string{"x", "5-3", "9", "0-9", "=!!", "=AAA", "-1", "0,,1"} {
-		if newBitset(8).decodeChunk(0, 8, bad) {
+	for _, bad := range []string{"x", "5-3", "9", "0-9", "=!!", "=AAA", "-1", "0,,1", "0-7,8", "0,1,2x"} {
+		b := newBitset(8)
+		if b.decodeChunk(0, 8, bad) {
 			t.Errorf("%q is taken for progress", bad)
 		}
+		if b.first() >= 0 {
+			t.Errorf("%q: task %d is called done by a damaged record", bad, b.first())
+		}
 	}
 }
--- /dev/null
+++ b/internal/core/edges_test.go
@@ -0,0 +1,263 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"yewpass/internal/timeline"
+)
+
+// TestAttemptsOfATerm: attempts rise within a term and into the next one, and a term
+// ends before it has none left.
+func TestAttemptsOfATerm(t *testing.T) {
+	const term = 7
+	if last, next := uint64(term)<<tryBits+maxTries, uint64(term+1)<<tryBits+1; last >= next {
+		t.Errorf("the last attempt of a term is %d, the first of the next %d", last, next)
+	}
+	if first := uint64(MaxTerm)<<tryBits + 1; first>>tryBits != MaxTerm {
+		t.Error("the last term's attempts turn round")
+	}
+	c := leaderOf(t, 1)
+	l := c.lead
+	m := l.fleet[0]
+	m.held, m.epoch = &heldReport{9}, l.term
+	j := newJob(c, 1, 3, testRand())
+	c.book(j)
+	l.tries = maxTries
+	if os := c.startOn(m); len(os) > 0 {
+		t.Errorf("%d starts beyond the last attempt", len(os))
+	}
+	l.tries = maxTries - triesSpare - 1
+	if os := c.startOn(m); len(os) == 0 {
+		t.Error("no start, and there are attempts left")
+	}
+	c.out = c.out[:0]
+	c.tickLead()
+	if c.lead != nil {
+		t.Fatal("the term goes on")
+	}
+	for _, o := range c.out {
+		if s, ok := o.(StoreCall); ok && s.Op == StoreDropGrant && s.Grant == l.grant {
+			return
+		}
+	}
+	t.Error("the grant is kept, and nobody can lead meanwhile")
+}
+
+// TestStrangeConflict: an answer that names no condition of ours is not tried again
+// at once, for ever.
+func TestStrangeConflict(t *testing.T) {
+	c := leaderOf(t, 0)
+	p := &c.lead.pipe
+	ch := &change{writes: []Write{{Key: "a", Value: &TermRecord{1}}}}
+	c.batchDone([]*change{ch}, StoreReply{Outcome: Conflict, Failed: []string{"something else"}})
+	if !p.pause.After(c.now) || len(p.waits[urgent]) != 1 {
+		t.Errorf("pause until %v, %d wait", p.pause, len(p.waits[urgent]))
+	}
+}
+
+// TestMalformedChange: a change that the state service calls malformed stands back
+// behind the others.
+func TestMalformedChange(t *testing.T) {
+	c := leaderOf(t, 0)
+	p := &c.lead.pipe
+	bad, good := &change{writes: []Write{{Key: "a"}}}, &change{writes: []Write{{Key: "b"}}}
+	c.batchDone([]*change{bad, good}, StoreReply{Outcome: Invalid})
+	p.take(&p.waits[urgent], 9)
+	c.batchDone([]*change{bad}, StoreReply{Outcome: Invalid})
+	if w := p.waits[urgent]; len(w) != 1 || w[0] != good {
+		t.Errorf("%d wait", len(w))
+	}
+	c.now = c.now.Add(2 * time.Second)
+	c.alarms()
+	if w := p.waits[urgent]; len(w) != 2 || w[1] != bad {
+		t.Errorf("%d wait: the malformed one is lost or goes first", len(w))
+	}
+}
+
+// TestAmounts: what no machine has and no file should say turns round nowhere.
+func TestAmounts(t *testing.T) {
+	for _, x := range []float64{0, 1e-9, 1, 1e6, 1e300, -1e300, math.Inf(1), math.Inf(-1), math.NaN(), math.MaxInt64} {
+		up, down := timeline.Thousandths(x, true), timeline.Thousandths(x, false)
+		if up < down || x > 0 && up <= 0 || x <= 0 && down > 0 {
+			t.Errorf("%g: %d, %d thousandths", x, up, down)
+		}
+		// The most that a job may take, summed over all of its tasks.
+		if s := (timeline.Resources{}).Add(timeline.Need(x, x, x), MaxTasks); s.CPU < 0 && x > 0 || s.Mem < 0 && x > 0 {
+			t.Errorf("%g: the sum turns round: %v", x, s)
+		}
+		if d := timeline.Seconds(x); d > timeline.Forever || d < -timeline.Forever || x > 0 && d < 0 || x < 0 && d > 0 {
+			t.Errorf("%g: %s", x, d)
+		}
+	}
+	empty := timeline.New(timeline.Resources{})
+	if _, ok := empty.Latest(t0, t0, 0, timeline.Resources{}); !ok {
+		t.Error("nothing does not fit on nothing, now")
+	}
+	if _, ok := empty.Latest(t0, t0.Add(-1), 0, timeline.Resources{}); ok {
+		t.Error("a deadline that has passed is met")
+	}
+	if n := empty.Count(t0, time.Hour, timeline.Need(1, 0, 0), 5); n != 0 {
+		t.Errorf("%d tasks fit on nothing", n)
+	}
+	if _, ok := empty.Earliest(t0, timeline.Forever, timeline.Need(0, 0, 1)); ok {
+		t.Error("a task fits on nothing")
+	}
+}
+
+// size counts what hangs on a value: members of maps and slices, however deep.
+func size(v reflect.Value, seen map[uintptr]bool) int {
+	n := 0
+	switch v.Kind() {
+	case reflect.Pointer, reflect.Map:
+		if v.IsNil() || seen[v.Pointer()] {
+			return 0
+		}
+		seen[v.Pointer()] = true
+		if v.Kind() == reflect.Pointer {
+			return 1 + size(v.Elem(), seen)
+		}
+		for it := v.MapRange(); it.Next(); {
+			n += 1 + size(it.Value(), seen) + size(it.Key(), seen)
+		}
+	case reflect.Interface:
+		if !v.IsNil() {
+			return size(v.Elem(), seen)
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			n += size(v.Field(i), seen)
+		}
+	case reflect.Slice, reflect.Array:
+		n = v.Len()
+		for i := range v.Len() {
+			n += size(v.Index(i), seen)
+		}
+	}
+	return n
+}
+
+// TestMonths: a leader that leads for two months, while a machine comes and goes and a
+// job of a class and an image of its own runs every two minutes, needs no more memory
+// in the end than early on. What it forgets comes back by no late report.
+func TestMonths(t *testing.T) {
+	c := leaderOf(t, 2)
+	l := c.lead
+	l.until = t0.Add(1e6 * time.Hour)
+	c.hold = 0
+	now, rev := t0, uint64(10)
+	var done func(in any)
+	orders := map[uint64][]Order{}
+	statuses := map[uint64]int{}
+	done = func(in any) {
+		for _, o := range append([]any(nil), c.Step(now, in)...) {
+			switch o := o.(type) {
+			case StoreCall:
+				r := StoreReply{Ref: o.Ref, Rev: rev}
+				if o.Op == StoreGet {
+					r.Outcome = Missing
+				} else if o.Op == StoreTxn {
+					rev++
+					r.Rev = rev
+				} else if o.Op == StoreFollow {
+					continue
+				}
+				done(r)
+			case CloudCall:
+				r := CloudReply{Ref: o.Ref}
+				if o.Op == CloudRent {
+					r.Outcome = Refused
+				} else if o.Op == CloudCatalog {
+					r.Flavors = l.rent.flavors
+				}
+				done(r)
+			case AnswerReport:
+				orders[o.Ref], statuses[o.Ref] = o.Orders, o.Status
+			}
+		}
+	}
+	ref := uint64(1e6)
+	say := func(r Report) int {
+		ref++
+		delete(orders, ref)
+		done(ReportIn{Ref: ref, Report: r})
+		for range 8 { // held, at the most so long
+			if _, ok := orders[ref]; ok {
+				break
+			}
+			now = now.Add(500 * time.Millisecond)
+			done(Tick{})
+		}
+		return statuses[ref]
+	}
+	stay := slices.Clone(l.fleet)
+	c.tickLead()
+	c.out = nil
+	const day, days = 720, 60
+	var early, ran int
+	for i := range day * days {
+		host := fmt.Sprintf("host-1%07d", i)
+		r := Report{Host: host, Address: host + ":9000", Flavor: "f2", Zone: "a", Reclaimable: true, Tenure: 1, Epoch: l.term}
+		j := &JobSpec{ID: fmt.Sprintf("wk-%07d", i), Class: fmt.Sprint("class ", i), Owner: "t", Tasks: 2, CPUs: 1, MemGB: 1, Image: fmt.Sprint("img", i), Reclaimable: true, Runtime: time.Minute}
+		r.Counter++
+		say(r) // has it recorded
+		done(UserCall{Ref: uint64(i) + 5e6, Op: OpSubmit, ID: j.ID, Spec: j})
+		for round := range 4 {
+			r.Counter++
+			say(r)
+			for k := range r.Tasks { // what was told to run runs, and is done
+				r.Tasks[k].Phase, r.Tasks[k].Cause = Exited, CauseDone
+				if round == 1 {
+					r.Tasks[k].Phase = TaskRuns
+				}
+			}
+			for _, o := range orders[ref] {
+				switch o.Verb {
+				case Start:
+					ran++
+					r.Tasks = append(r.Tasks, TaskReport{Task: o.Task, Try: o.Try, Phase: TaskRuns})
+				case Reap:
+					for k := range r.Tasks {
+						if r.Tasks[k].Try == o.Try {
+							r.Tasks = append(r.Tasks[:k], r.Tasks[k+1:]...)
+							break
+						}
+					}
+				}
+			}
+		}
+		now = now.Add(100 * time.Second) // silent by now, and returned
+		for range 6 {
+			for _, m := range stay {
+				m.seen, m.answered, m.idle, m.draining = now, now, now, false
+			}
+			now = now.Add(500 * time.Millisecond)
+			done(Tick{})
+		}
+		if c.lead != l {
+			t.Fatal("leadership lost")
+		}
+		r.Counter++
+		if got := say(r); got != 503 || l.machines[host] != nil {
+			t.Fatalf("a late report of a released machine gets %d", got)
+		}
+		if i == 10*day {
+			early = size(reflect.ValueOf(c), map[uintptr]bool{})
+		}
+	}
+	late := size(reflect.ValueOf(c), map[uintptr]bool{})
+	t.Logf("%d machines, %d tasks; %d members after 10 days, %d after %d", day*days, ran, early, late, days)
+	if ran < day*days {
+		t.Errorf("only %d tasks ran", ran)
+	}
+	if late > early*11/10 {
+		t.Errorf("memory grows: %d members after 10 days, %d after %d", early, late, days)
+	}
+}
+
+func testRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
--- a/internal/core/estimate.go
+++ b/internal/core/estimate.go
@@ -3,12 +3,28 @@
 import (
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"yewpass/internal/timeline"
 )
 
 // estimates corrects the owners' estimates by observed run times: by job once a
 // task of it has completed, by class and owner before.
-type estimates map[string]*observed
+//
+// Classes are the users' own words, so only the latest used ones are kept.
+type estimates struct{ *lru.Cache[string, *observed] }
+
+const estimatesKept = 4096
+
+func newEstimates() estimates {
+	kept, _ := lru.New[string, *observed](estimatesKept) // errs only for a size below 1
+	return estimates{kept}
+}
+
+func (e estimates) of(s *JobSpec) *observed {
+	o, _ := e.Get(s.Class + "/" + s.Owner)
+	return o
+}
 
 type observed struct {
 	n    int
@@ -27,11 +43,10 @@
 		return
 	}
 	j.took.add(took.Seconds())
-	key := j.spec.Class + "/" + j.spec.Owner
-	o := c.lead.est[key]
+	o := c.lead.est.of(&j.spec)
 	if o == nil {
 		o = &observed{}
-		c.lead.est[key] = o
+		c.lead.est.Add(j.spec.Class+"/"+j.spec.Owner, o)
 	}
 	if j.took.n <= 8 { // a large array must not outweigh all other jobs
 		o.add(took.Seconds() / j.spec.Runtime.Seconds())
@@ -51,7 +66,7 @@
 
 func (c *Core) estimateSpec(s *JobSpec) time.Duration {
 	d := s.Runtime
-	if o := c.lead.est[s.Class+"/"+s.Owner]; o != nil && o.n >= 5 {
+	if o := c.lead.est.of(s); o != nil && o.n >= 5 {
 		d = timeline.Seconds(d.Seconds() * min(max(o.mean, 0.3), 3))
 	}
 	return max(d, 100*time.Millisecond)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -39,7 +39,7 @@
 
 	machines    map[string]*machine
 	fleet       []*machine        // the same, by name
-	gone        map[string]bool   // released, proven gone: their late reports count for nothing
+	gone        forgetful         // released, proven gone: their late reports count for nothing
 	owed        map[string]bool   // recorded machines that may hold an earlier term's tasks
 	unread      map[string]bool   // jobs whose records cannot be read
 	lost        map[string]uint64 // records of machines that cannot be read, by key; owed as well
@@ -242,8 +242,8 @@
 	c.lead = &leadership{
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
-		teams: map[string]*team{}, est: estimates{}, machines: map[string]*machine{},
-		gone: map[string]bool{}, owed: map[string]bool{}, unread: map[string]bool{}, lost: map[string]uint64{}, holding: map[uint64]*machine{},
+		teams: map[string]*team{}, est: newEstimates(), gone: newForgetful(c.now), machines: map[string]*machine{},
+		owed: map[string]bool{}, unread: map[string]bool{}, lost: map[string]uint64{}, holding: map[uint64]*machine{},
 		pipe: pipeline{
 			writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.9), max(st.TxnOps, int(st.WriteRPS*0.8))),
 			reqs:   rate.NewLimiter(rate.Limit(st.RPS*0.6), max(1, int(st.RPS*0.5))),
@@ -439,11 +439,24 @@
 
 // tickLead does the leader's regular work.
 func (c *Core) tickLead() {
+	if c.lead.tries > maxTries-triesSpare {
+		// Beyond that an attempt would look like one of the next term's.
+		c.retire("the attempts of the term are used up")
+		return
+	}
 	c.housekeep()
 	c.dueSchedules()
 	c.whenLeading(tickEvery, c.tickLead)
 }
 
+// retire ends a term that is in order: the grant goes back, so that the next begins
+// at once.
+func (c *Core) retire(why string) {
+	grant := c.lead.grant
+	c.stepDown(why)
+	c.store(StoreCall{Op: StoreDropGrant, Grant: grant}, func(StoreReply) {})
+}
+
 // leadPump runs after each input while we lead.
 func (c *Core) leadPump() {
 	l := c.lead
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"yewpass/internal/timeline"
 	"yewpass/internal/topology"
 )
@@ -32,6 +34,15 @@
 	stopped time.Time // when the stop first went out
 }
 
+// imagesKept is how many images a machine is taken to have: the latest used ones, as
+// it keeps them itself. Their names are the users' own words.
+const imagesKept = 128
+
+func newImages() *simplelru.LRU[string, struct{}] {
+	images, _ := simplelru.NewLRU[string, struct{}](imagesKept, nil) // errs only for a size below 1
+	return images
+}
+
 type recordState int
 
 const (
@@ -71,9 +82,9 @@
 	runs   []*run
 	books  []*booking // of tasks that wait
 	used   timeline.Resources
-	warm   int64 // CPUs, in thousandths, kept free for work that must start at once
-	images map[string]bool
-	idle   time.Time // since when nothing runs or is booked
+	warm   int64                            // CPUs, in thousandths, kept free for work that must start at once
+	images *simplelru.LRU[string, struct{}] // that it has, as far as we know
+	idle   time.Time                        // since when nothing runs or is booked
 
 	releasing bool
 	draining  bool // its work fits elsewhere: no new tasks, then it goes back
@@ -91,7 +102,7 @@
 	m := l.machines[host]
 	if m == nil {
 		m = &machine{host: host, flavorName: flavor, zone: zone, reclaimable: reclaimable,
-			since: c.now, rentedAt: c.now, idle: c.now, images: map[string]bool{}, tl: timeline.New(timeline.Resources{})}
+			since: c.now, rentedAt: c.now, idle: c.now, images: newImages(), tl: timeline.New(timeline.Resources{})}
 		m.leaf, _ = l.places.Machine(host, "", zone)
 		l.machines[host] = m
 		l.fleet = slices.Insert(l.fleet, l.place(host), m)
@@ -159,7 +170,7 @@
 	case !c.leads() && c.now.After(l.until.Add(c.hold)):
 		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
 		return
-	case l.gone[rep.Host]:
+	case l.gone.has(rep.Host):
 		// Released and proven gone: whatever arrives now was sent before.
 		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
 		return
@@ -203,7 +214,7 @@
 func (c *Core) strayEpoch(host string, epoch uint64, useless func()) {
 	c.doubt("a worker has seen a newer epoch", func() {
 		c.note(slog.LevelWarn, "worker has seen an epoch that never was", "machine", host, "claimed", epoch, "term", c.lead.term)
-		if c.lead.loaded && !c.lead.gone[host] {
+		if c.lead.loaded && !c.lead.gone.has(host) {
 			useless()
 		}
 	})
@@ -430,7 +441,7 @@
 		if t.Phase == TaskRuns && r.phase != TaskRuns {
 			r.began = c.now
 			if j != nil {
-				m.images[j.spec.Image] = true
+				m.images.Add(j.spec.Image, struct{}{})
 				if r.slot != nil {
 					r.slot.End = c.now.Add(c.length(j, m))
 					m.tl.Touch()
@@ -628,6 +639,10 @@
 	if m := c.lead.holding[ref]; m != nil {
 		c.unhold(m)
 	}
+	// Reports that wait for the records to be read would pile up while that fails.
+	if l := c.lead; !l.loaded {
+		l.waiting = slices.DeleteFunc(l.waiting, func(r ReportIn) bool { return r.Ref == ref })
+	}
 }
 
 // leaseOver returns when the machine's lease has surely ended if it is not
@@ -673,10 +688,16 @@
 	c.unbookMachine(m)
 }
 
+// errHostsMost is on how many machines a job's tasks must have failed for it to be
+// tried on them again: then it is the job.
+const errHostsMost = 2
+
 // blame weighs a failed task: the machine is faulty when jobs fail on it that
 // run elsewhere, the job when it fails wherever it goes.
 func (c *Core) blame(j *job, m *machine) {
-	j.errHosts[m.host] = true
+	if len(j.errHosts) <= errHostsMost { // more would not change where it may go
+		j.errHosts[m.host] = true
+	}
 	j.failures++
 	m.suspect = true
 	if j.any {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -82,7 +82,7 @@
 	s := &j.spec
 	return m.usable() && (!m.reclaimable || s.Reclaimable) && flavorAllowed(s, m.flavorName) &&
 		(s.Zone == "" || s.Zone == m.zone) && j.need.Fits(m.tl.Capacity()) &&
-		(len(j.errHosts) == 0 || !j.errHosts[m.host] || len(j.errHosts) > 2)
+		(len(j.errHosts) == 0 || !j.errHosts[m.host] || len(j.errHosts) > errHostsMost)
 }
 
 // stretched is how long a task of the job is booked for, without its image.
@@ -97,7 +97,7 @@
 	if j.spec.Service {
 		return timeline.Forever
 	}
-	if !m.images[j.spec.Image] {
+	if !m.images.Contains(j.spec.Image) {
 		base += fetch(&j.spec, m.flavor)
 	}
 	return base
@@ -452,20 +452,23 @@
 // couldStart reports whether a task of the job may start now wherever it fits.
 func (c *Core) couldStart(j *job) bool { return c.mayStart(j) && j.team.room(j.need, 1) > 0 }
 
+// startsMost is how many tasks one reply starts at the most, or a few more.
+const startsMost = 256
+
 // startOn starts booked tasks on the machine in timeline order while they fit,
 // ahead of their time if need be, wherever they were booked: a machine with
 // free room takes what waits for a busy one.
 func (c *Core) startOn(m *machine) []Order {
 	l := c.lead
 	room := m.room()
-	if room.CPU <= 0 || len(l.queue) == 0 || !c.acts() || !m.reported || m.record != recorded || !m.usable() || c.now.Before(m.retryAt) || l.owed[m.host] {
+	if room.CPU <= 0 || len(l.queue) == 0 || !c.acts() || !m.reported || m.record != recorded || !m.usable() || c.now.Before(m.retryAt) || l.owed[m.host] || l.tries > maxTries-startsMost {
 		return nil
 	}
 	var os []Order
 	blocked := false
 	// What lies within a team's guarantee goes first: borrowing is for what is
 	// left unused.
-	for borrowing, i := !l.guarantees, 0; room.CPU > 0 && len(os) < 256; {
+	for borrowing, i := !l.guarantees, 0; room.CPU > 0 && len(os) < startsMost; {
 		if i >= len(l.queue) {
 			if borrowing {
 				break
@@ -540,7 +543,7 @@
 // that lacks the image leaves alone what is booked on one that has both the
 // image and the room, and at first what waits for any that has the image.
 func (c *Core) firstFor(j *job, m *machine) *booking {
-	if m.images[j.spec.Image] {
+	if m.images.Contains(j.spec.Image) {
 		return j.books[0]
 	}
 	if c.now.Before(j.localTill) {
@@ -571,7 +574,7 @@
 	l := c.lead
 	have := int64(0)
 	for _, m := range l.fleet {
-		if m.images[j.spec.Image] {
+		if m.images.Contains(j.spec.Image) {
 			have += m.tl.Capacity().CPU
 		}
 	}
@@ -589,7 +592,7 @@
 
 // ready reports whether the job's tasks could start on the machine right away.
 func (m *machine) ready(j *job) bool {
-	return m.reported && m.usable() && m.images[j.spec.Image] && j.need.Fits(m.room())
+	return m.reported && m.usable() && m.images.Contains(j.spec.Image) && j.need.Fits(m.room())
 }
 
 // start orders one task of a booking to start on a machine. The order goes out
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -60,7 +60,7 @@
 	}
 	for _, o := range c.lead.fleet[1:] {
 		for _, image := range []string{"img0", "img1", "img2", "img3", "img4", "img5"} {
-			o.images[image] = true
+			o.images.Add(image, struct{}{})
 		}
 		c.fill(o) // no room for now
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -139,7 +139,7 @@
 
 func (c *Core) listed(h Listed) {
 	l := c.lead
-	if l.gone[h.Host] {
+	if l.gone.has(h.Host) {
 		return // the list lags
 	}
 	m := l.machines[h.Host]
@@ -196,7 +196,7 @@
 func (c *Core) removed(host string) {
 	l := c.lead
 	m := l.machines[host]
-	l.gone[host] = true
+	l.gone.add(host, c.now)
 	if m == nil {
 		return
 	}
@@ -608,6 +608,8 @@
 		f    *Flavor
 		cost float64
 	}
+	// Tasks that take no CPU need a machine all the same.
+	cpus = max(cpus, 0.001)
 	var cs []choice
 	have := map[offer]int{}
 	for _, m := range l.fleet {
@@ -673,7 +675,7 @@
 		case OK:
 			delete(l.rent.wanted, name)
 			for _, h := range r.Hosts {
-				if l.gone[h] {
+				if l.gone.has(h) {
 					continue
 				}
 				m := c.machine(h, w.flavor, w.zone, w.reclaimable)
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -112,7 +112,7 @@
 		}{{fast, rng}, {plain, twin}} {
 			for _, m := range x.c.lead.fleet {
 				if x.r.IntN(2) == 0 {
-					m.images[fmt.Sprint("img", x.r.IntN(6))] = true
+					m.images.Add(fmt.Sprint("img", x.r.IntN(6)), struct{}{})
 				}
 				if x.r.IntN(3) == 0 {
 					m.reported, m.readyAt = false, t0.Add(time.Duration(x.r.IntN(40))*time.Second)
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -192,7 +192,6 @@
 			}
 		}
 	case Conflict:
-		p.backoff = 0
 		if slices.Contains(r.Failed, termKey) {
 			c.stepDown("a newer term has been written")
 			return
@@ -208,6 +207,12 @@
 				rest = append(rest, ch)
 			}
 		}
+		if len(rest) == len(batch) {
+			// It names none of ours: nothing would be different the next time.
+			c.standBack()
+		} else {
+			p.backoff = 0
+		}
 		again(rest)
 	case Invalid:
 		// Ours to get right: log it loudly, and try the changes one by one so
@@ -217,18 +222,28 @@
 			batch[0].rejected()
 			return
 		}
+		if len(batch) == 1 {
+			// The bad one, or one of them: behind all others, and later.
+			ch := batch[0]
+			c.whenLeading(c.jitter(time.Second), func() { p.add(ch) })
+			return
+		}
 		p.single = max(p.single, len(batch))
-		p.pause = c.now.Add(c.jitter(time.Second))
-		c.whenLeading(time.Second, func() {})
 		again(batch)
 	default:
 		// Known not to have been executed, or not known: both are sent again.
 		// Should the first try be applied as well, the second meets a condition
 		// of its own, which is read back.
-		p.backoff = min(max(2*p.backoff, 100*time.Millisecond), 2*time.Second)
-		d := c.jitter(p.backoff)
-		p.pause = c.now.Add(d)
-		c.whenLeading(d, func() {})
+		c.standBack()
 		again(batch)
 	}
 }
+
+// standBack has the pipeline wait a little, longer each time in a row.
+func (c *Core) standBack() {
+	p := &c.lead.pipe
+	p.backoff = min(max(2*p.backoff, 100*time.Millisecond), 2*time.Second)
+	d := c.jitter(p.backoff)
+	p.pause = c.now.Add(d)
+	c.whenLeading(d, func() {})
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -55,6 +55,13 @@
 // tryBits is how much of an attempt counts the starts of a term.
 const tryBits = 28
 
+// A term has so many attempts, and ends while there are some left: more than can go
+// out between two ticks.
+const (
+	maxTries   = 1<<tryBits - 1
+	triesSpare = 1 << 20
+)
+
 // TaskID names a task: job and number.
 type TaskID struct {
 	Job   string
