--- a/internal/scenario/clock.go
+++ b/internal/scenario/clock.go
@@ -82,7 +82,8 @@
 	*clock
 	latency time.Duration
 	cuts    []*cut
-	last    map[[2]string]time.Time // messages of a pair stay in order
+	last    map[[2]string]time.Time                // messages of a pair stay in order
+	take    func(kind, a, b string, f func()) bool // takes a message out of the ordinary way
 }
 
 // cut separates some hosts from all others: messages across are held back until
@@ -114,15 +115,19 @@
 	return true
 }
 
-func (n *network) send(a, b string, f func()) {
+// send has a message of a kind on its way from a to b; f is its arrival.
+func (n *network) send(kind, a, b string, f func()) {
 	for _, c := range n.cuts {
 		if c.parts(a, b) {
 			if c.hold {
-				c.held = append(c.held, func() { n.send(a, b, f) })
+				c.held = append(c.held, func() { n.send(kind, a, b, f) })
 			}
 			return
 		}
 	}
+	if n.take != nil && n.take(kind, a, b, f) {
+		return
+	}
 	key := [2]string{a, b}
 	at := n.now.Add(n.spread(n.latency, 0.5))
 	if last := n.last[key]; at.Before(last) {
--- a/internal/scenario/front_test.go
+++ b/internal/scenario/front_test.go
@@ -189,12 +189,12 @@
 		}
 		got := make(chan reply, 8)
 		f.with(func() {
-			f.net.send(node, host, func() {
+			f.net.send(host, node, host, func() {
 				serve(r.Method, r.URL.RequestURI(), body, func(status int, data []byte) {
 					if f.twist != nil {
 						status, data = f.twist(host, r.URL.RequestURI(), status, data)
 					}
-					f.net.send(host, node, func() { got <- reply{status, data} })
+					f.net.send(host+" answer", host, node, func() { got <- reply{status, data} })
 				})
 			})
 		})
--- /dev/null
+++ b/internal/scenario/orders_test.go
@@ -0,0 +1,389 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yewpass/internal/core"
+)
+
+// What happens next? In the scenarios' ordinary play messages arrive in the order of
+// their times. Here a few kinds of them, and a few events, wait in a hand, and every
+// choice is played of which of them happens next, or whether time passes first: each
+// order of choices on a world of its own, begun anew, with every rule looked at after
+// every event. After the last choice the rest happens in its order, and all must end
+// well.
+
+// ordering is a set of things that race, around one danger.
+type ordering struct {
+	name   string
+	text   string        // how the world is set up, and what is expected in the end
+	from   time.Duration // when the race begins
+	events []string      // what happens some time in it, as scenario actions
+	races  []string      // kinds of messages whose order is open; "kind a" only those from a
+	loses  []string      // kinds one message of which may be lost
+	passes []time.Duration
+	depth  int // choices
+	orders int // how many orders there are: the same each time
+}
+
+const tiny = `
+seed 3
+nodes 2
+type s cpus=4 mem=16 rate=0.4 low=0.1 ready=2s fetch=10
+capacity s a n=2
+machines s a n=2
+`
+
+var orderings = []ordering{
+	{
+		name: "accept and retry", text: tiny + "team t\nrun 120s\nexpect over\nexpect leaders =1",
+		from: 6 * time.Second, events: []string{"submit wk-1 run=3s", "again wk-1", "crash leader back=3s"},
+		races: []string{"txn", "txn answer", "call", "answer"}, loses: []string{"txn", "txn answer"},
+		passes: []time.Duration{50 * time.Millisecond, 1600 * time.Millisecond, 2500 * time.Millisecond}, depth: 4, orders: 847,
+	},
+	{
+		name: "cancel and start", text: tiny + "team t\nrun 120s\nexpect over\nexpect running wk-1 =0",
+		from: 6 * time.Second, events: []string{"submit wk-1 run=300s tasks=3", "cancel wk-1"},
+		races: []string{"txn", "txn answer", "reply", "call"}, passes: []time.Duration{600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 941,
+	},
+	{
+		name: "start and a change of leader", text: tiny + "team t\nat 5.9s submit wk-1 run=40s tasks=3\nrun 180s\nexpect over\nexpect leaders =1",
+		from: 5900 * time.Millisecond, events: []string{"crash leader back=3s", "cut 1 9s hold"},
+		races: []string{"reply", "report", "probe"}, passes: []time.Duration{300 * time.Millisecond, 3 * time.Second, 22 * time.Second}, depth: 4, orders: 2455,
+	},
+	{
+		name: "done and a change of leader", text: tiny + "team t\nat 6s submit wk-1 run=4s tasks=2\nrun 150s\nexpect over\nexpect leaders =1",
+		from: 10 * time.Second, events: []string{"crash leader back=3s"},
+		races: []string{"report", "reply", "txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{200 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 2198,
+	},
+	{
+		name: "end of a lease and a late report", text: tiny + "team t\nat 5s submit wk-1 run=60s tasks=3\nrun 250s\nexpect over",
+		from: 12 * time.Second, events: []string{"cut 1 30s hold", "hang 1 12s"},
+		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{time.Second, 21 * time.Second}, depth: 4, orders: 1415,
+	},
+	{
+		name: "a limit across a take-over", text: tiny + "team t max=3\nat 5s submit wk-1 run=30s tasks=3\nrun 250s\nexpect over\nexpect leaders =1",
+		from: 9 * time.Second, events: []string{"crash leader back=3s", "submit wk-2 run=5s tasks=3", "cut 1 12s hold"},
+		races: []string{"report", "reply", "probe"}, passes: []time.Duration{500 * time.Millisecond, 22 * time.Second}, depth: 4, orders: 2003,
+	},
+	{
+		name: "a late transaction under a successor", text: tiny + "team t\nat 5s submit wk-1 run=20s tasks=2\nrun 200s\nexpect over\nexpect leaders =1",
+		from: 9 * time.Second, events: []string{"cancel wk-1", "submit wk-2 run=3s", "deny leader 4s"},
+		races: []string{"txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second}, depth: 4, orders: 1681,
+	},
+	{
+		name: "a machine taken", text: tiny + "team t\ncapacity s b spot=2\nmachines s b n=1 spot\nat 5s submit wk-1 run=20s tasks=9\nrun 250s\nexpect over",
+		from: 9 * time.Second, events: []string{"take 1", "take 1 notice=6s", "crash leader back=3s"},
+		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{600 * time.Millisecond, 4 * time.Second}, depth: 4, orders: 920,
+	},
+}
+
+// racing is one play of an ordering.
+type racing struct {
+	*script
+	o    *ordering
+	hand []*waiting
+	on   bool
+	lost bool
+}
+
+// waiting is something that may happen next.
+type waiting struct {
+	kind, a, b string
+	do         func()
+}
+
+func (x *waiting) String() string {
+	if x.kind == "event" {
+		return x.a
+	}
+	return x.kind + " " + x.a + ">" + x.b
+}
+
+func (r *racing) takes(kind, a, b string, f func()) bool {
+	if !r.on || !slices.Contains(r.o.races, kind) {
+		return false
+	}
+	r.hand = append(r.hand, &waiting{kind, a, b, f})
+	return true
+}
+
+// first reports whether nothing that must come before waits: what peers say stays in
+// order, and so does all between one worker and one node.
+func (r *racing) first(i int) bool {
+	x := r.hand[i]
+	if x.kind == "event" {
+		f := strings.Fields(x.a)
+		if j := r.jobs[f[len(f)-1]]; f[0] == "cancel" || f[0] == "again" {
+			return j != nil && (f[0] == "again" || j.accepted) // of what its user has submitted
+		}
+		return true
+	}
+	if slices.Contains([]string{"txn", "txn answer", "call", "answer"}, x.kind) {
+		return true // each on a connection of its own
+	}
+	return !slices.ContainsFunc(r.hand[:i], func(y *waiting) bool { return y.kind == x.kind && y.a == x.a && y.b == x.b })
+}
+
+// options says what may happen next.
+type option struct {
+	name string
+	do   func()
+}
+
+func (r *racing) options() (os []option) {
+	for i, x := range r.hand {
+		if !r.first(i) {
+			continue
+		}
+		os = append(os, option{x.String(), func() { r.happens(x, true) }})
+		if slices.Contains(r.o.loses, x.kind) && !r.lost {
+			os = append(os, option{"lost: " + x.String(), func() { r.lost = true; r.happens(x, false) }})
+		}
+	}
+	for _, d := range r.o.passes {
+		os = append(os, option{d.String() + " pass", func() {
+			for end := r.now.Add(d); r.step(end); {
+				r.check()
+			}
+		}})
+	}
+	return os
+}
+
+func (r *racing) happens(x *waiting, arrives bool) {
+	r.hand = slices.DeleteFunc(r.hand, func(y *waiting) bool { return y == x })
+	switch {
+	case !arrives:
+	case x.kind != "event" && !r.net.open(x.a, x.b):
+		r.net.send(x.kind, x.a, x.b, x.do) // into the cut
+	default:
+		x.do()
+	}
+	r.check()
+}
+
+// playOrder plays one order of choices; choices beyond those given are the first
+// option. widths says how many options each choice had, names which was taken.
+func playOrder(o *ordering, choices []int, lie func(n *node, out any) any) (widths []int, names []string, res Result) {
+	s := &script{world: newWorld()}
+	for line := range strings.Lines(o.text) {
+		if f := strings.Fields(line); len(f) > 0 {
+			if err := s.line(f); err != nil {
+				panic(fmt.Sprint(line, err))
+			}
+		}
+	}
+	s.lie = lie
+	s.begin()
+	r := &racing{script: s, o: o}
+	s.net.take = r.takes
+	for s.step(s.start.Add(o.from)) {
+	}
+	r.on = true
+	for _, e := range o.events {
+		f := strings.Fields(e)
+		r.hand = append(r.hand, &waiting{kind: "event", a: e, do: func() {
+			if f[0] == "again" { // its user asks once more, whatever it was told
+				s.submit(s.jobs[f[1]])
+				return
+			}
+			s.act(f)
+		}})
+	}
+	for len(widths) < o.depth {
+		for len(r.hand) == 0 && s.step(s.start.Add(s.end)) {
+			r.check()
+		}
+		os := r.options()
+		pick := 0
+		if len(widths) < len(choices) {
+			pick = choices[len(widths)]
+		}
+		widths = append(widths, len(os))
+		names = append(names, os[pick].name)
+		os[pick].do()
+	}
+	r.on = false
+	for len(r.hand) > 0 { // the rest, in its order
+		r.happens(r.hand[0], true)
+	}
+	s.run(s.end)
+	return widths, names, s.result()
+}
+
+// eachOrder plays every order, several at a time, until f says no.
+func eachOrder(o *ordering, lie func() func(n *node, out any) any, f func(choices []int, names []string, res Result) bool) (played int) {
+	var count atomic.Int64
+	var stop atomic.Bool
+	widths, _, _ := playOrder(o, nil, lie())
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	slots := make(chan struct{}, 8)
+	for first := range widths[0] {
+		all.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			for choices := []int{first}; !stop.Load(); {
+				ws, names, res := playOrder(o, choices, lie())
+				count.Add(1)
+				choices = append(choices, make([]int, len(ws)-len(choices))...)
+				mu.Lock()
+				if !f(choices, names, res) {
+					stop.Store(true)
+				}
+				mu.Unlock()
+				// The next one: the last choice that has another option.
+				i := len(choices) - 1
+				for i > 0 && choices[i]+1 >= ws[i] {
+					i--
+				}
+				if i == 0 {
+					return
+				}
+				choices = append([]int(nil), choices[:i+1]...)
+				choices[i]++
+			}
+		})
+	}
+	all.Wait()
+	return int(count.Load())
+}
+
+var order = flag.String("order", "", "play one order alone, as a failing one prints itself: NAME:1,0,3")
+
+func honest() func(*node, any) any { return nil }
+
+func complaint(name string, choices []int, names []string, res Result) string {
+	var nums []string
+	for _, c := range choices {
+		nums = append(nums, strconv.Itoa(c))
+	}
+	return fmt.Sprintf("go test ./internal/scenario -run TestOrders -order '%s:%s'\n%s\n%s", name, strings.Join(nums, ","),
+		strings.Join(names, "\n"), strings.Join(append(res.Violations, res.Unmet...), "\n"))
+}
+
+// TestOrders plays every order of every set.
+func TestOrders(t *testing.T) {
+	for i := range orderings {
+		o := &orderings[i]
+		if *order != "" {
+			if list, ok := strings.CutPrefix(*order, o.name+":"); ok {
+				var choices []int
+				for c := range strings.SplitSeq(list, ",") {
+					n, err := strconv.Atoi(c)
+					if err != nil {
+						t.Fatal(err)
+					}
+					choices = append(choices, n)
+				}
+				_, names, res := playOrder(o, choices, nil)
+				t.Log(complaint(o.name, choices, names, res))
+				if len(res.Violations)+len(res.Unmet) > 0 {
+					t.Fail()
+				}
+			}
+			continue
+		}
+		t.Run(o.name, func(t *testing.T) {
+			t.Parallel()
+			bad := 0
+			n := eachOrder(o, honest, func(choices []int, names []string, res Result) bool {
+				if len(res.Violations)+len(res.Unmet) > 0 {
+					bad++
+					t.Error(complaint(o.name, choices, names, res))
+				}
+				return bad < 3
+			})
+			t.Logf("%d orders", n)
+			if bad == 0 && n != o.orders {
+				t.Errorf("%d orders, there should be %d", n, o.orders)
+			}
+		})
+	}
+}
+
+// TestOrdersPlanted: errors put between the core and the world are found by some
+// order, so the search can fail.
+func TestOrdersPlanted(t *testing.T) {
+	for _, p := range []struct {
+		set, rule string
+		lie       func() func(n *node, out any) any
+	}{
+		{"accept and retry", "forgotten", func() func(n *node, out any) any {
+			return func(n *node, out any) any { // an answer before its write
+				if call, ok := out.(core.StoreCall); ok && call.Op == core.StoreTxn {
+					for _, w := range call.Then {
+						if rec, ok := w.Value.(*core.JobRecord); ok && !rec.Cancelled {
+							for _, x := range n.nodes { // whichever the user has asked
+								x.answer(x.submission, core.AnswerUser{Ref: x.submission, Status: 201, View: core.JobView{ID: rec.Spec.ID, State: core.Queued}})
+							}
+						}
+					}
+				}
+				return out
+			}
+		}},
+		{"start and a change of leader", "ran_twice", func() func(n *node, out any) any {
+			return func(n *node, out any) any { // machines go unrecorded: nobody waits for them
+				if call, ok := out.(core.StoreCall); ok && call.Op == core.StoreTxn {
+					call.Then = slices.DeleteFunc(slices.Clone(call.Then), func(w core.Write) bool {
+						_, ok := w.Value.(*core.MachineRecord)
+						return ok
+					})
+					return call
+				}
+				return out
+			}
+		}},
+		{"start and a change of leader", "misuse", func() func(n *node, out any) any {
+			return func(n *node, out any) any { // attempts of the second term are below the first's
+				if a, ok := out.(core.AnswerReport); ok {
+					a.Orders = slices.Clone(a.Orders)
+					for i := range a.Orders {
+						a.Orders[i].Try = a.Orders[i].Try&0xffff + 100/a.Epoch
+					}
+					return a
+				}
+				return out
+			}
+		}},
+		{"cancel and start", "ran_cancelled", func() func(n *node, out any) any {
+			return func(n *node, out any) any { // stops are forgotten
+				if a, ok := out.(core.AnswerReport); ok {
+					a.Orders = slices.DeleteFunc(slices.Clone(a.Orders), func(o core.Order) bool { return o.Verb == core.Stop })
+					return a
+				}
+				return out
+			}
+		}},
+	} {
+		t.Run(p.set+"/"+p.rule, func(t *testing.T) {
+			t.Parallel()
+			i := slices.IndexFunc(orderings, func(o ordering) bool { return o.name == p.set })
+			o, found := orderings[i], ""
+			// A user who asks again would mend what the lie has broken.
+			o.events = slices.DeleteFunc(slices.Clone(o.events), func(e string) bool { return strings.HasPrefix(e, "again") })
+			n := eachOrder(&o, p.lie, func(choices []int, names []string, res Result) bool {
+				for _, v := range res.Violations {
+					if strings.Contains(v, " "+p.rule+":") {
+						found = complaint(p.set, choices, names, res)
+					}
+				}
+				return found == ""
+			})
+			if found == "" {
+				t.Errorf("not found in %d orders", n)
+			}
+			t.Logf("found within %d orders: %s", n, found)
+		})
+	}
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -63,7 +63,7 @@
 }
 
 func newWorld() *world {
-	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, cals: map[string]calendar.Definition{}, clerks: map[string]*clerk{}, broken: map[string]bool{}}
+	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, cals: map[string]calendar.Definition{}, clerks: map[string]*clerk{}, broken: map[string]bool{}, tries: map[core.TaskID]uint64{}}
 	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
 	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, muted: map[string]mute{}, refilled: w.now}
 	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
@@ -186,6 +186,13 @@
 			panic(p)
 		}
 	}()
+	s.begin()
+	s.run(s.end)
+	return s.result(), nil
+}
+
+// begin sets the world up.
+func (s *script) begin() {
 	w := s.world
 	w.clock.rng = newClock(s.seed).rng
 	w.adoptSettings(s.trace)
@@ -206,7 +213,11 @@
 			w.at(w.start.Add(span(e.what[k+1])), func() { e.seen, e.met = true, s.holds(e.what[:k]) })
 		}
 	}
-	w.run(s.end)
+}
+
+// result says how it went.
+func (s *script) result() (res Result) {
+	w := s.world
 	for _, e := range s.expects {
 		if !e.seen {
 			e.met = s.holds(e.what)
@@ -221,7 +232,7 @@
 		w.violations = slices.DeleteFunc(w.violations, func(v string) bool { return strings.Contains(v, " "+rule+":") })
 	}
 	res.Violations, res.Started, res.Requests = w.violations, w.started, w.store.requests
-	return res, nil
+	return res
 }
 
 // unfinished names the accepted jobs that are not over.
@@ -253,6 +264,8 @@
 			}
 		}
 		return e[1] == "all" || s.jobs[e[1]] != nil
+	case "over": // every accepted job, one way or the other
+		return !slices.ContainsFunc(s.order, func(j *userJob) bool { return j.accepted && j.told == "" })
 	case "finished": // the tasks are done, whether or not the user has asked
 		j := s.jobs[e[1]]
 		return j != nil && !j.finished.IsZero()
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -52,9 +52,9 @@
 		w.after(10*time.Millisecond, func() { answer(0, core.AnswerUser{}) })
 		return
 	}
-	w.net.send("user", n.name, func() {
+	w.net.send("call", "user", n.name, func() {
 		if !n.alive {
-			w.net.send(n.name, "user", func() { answer(0, core.AnswerUser{}) })
+			w.net.send("answer", n.name, "user", func() { answer(0, core.AnswerUser{}) })
 			return
 		}
 		n.ask(func(ref uint64) any {
@@ -63,7 +63,7 @@
 		}, func(v any) {
 			a := v.(core.AnswerUser)
 			given := w.now
-			w.net.send(n.name, "user", func() {
+			w.net.send("answer", n.name, "user", func() {
 				w.given = given
 				answer(a.Status, a)
 			})
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -133,8 +133,8 @@
 	id, tenure, sent := m.flight, m.tenure, m.now
 	rep := m.describe()
 	n := m.nodes[m.node%len(m.nodes)]
-	back := func(f func()) { m.net.send(n.name, m.host, func() { m.do(f) }) }
-	m.net.send(m.host, n.name, func() {
+	back := func(f func()) { m.net.send("reply", n.name, m.host, func() { m.do(f) }) }
+	m.net.send("report", m.host, n.name, func() {
 		if !n.alive {
 			back(func() { m.failed(id) })
 			return
@@ -254,6 +254,10 @@
 	switch o.Verb {
 	case core.Start:
 		if t == nil {
+			if o.Try <= m.tries[o.Task] {
+				m.fail("misuse", "%s starts as attempt %d after %d", o.Task, o.Try, m.tries[o.Task])
+			}
+			m.tries[o.Task] = o.Try
 			m.start(o)
 		}
 	case core.Stop:
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -36,6 +36,8 @@
 	broken             map[string]bool
 	started, refusals  int
 	polls              int
+	tries              map[core.TaskID]uint64   // the latest attempt that a worker was told to start
+	lie                func(n *node, o any) any // what a planted error makes of an output
 	address            func(host string) string // where a worker takes commands
 	given              time.Time                // when the answer at hand was given
 	answered, failures []time.Time
@@ -140,6 +142,8 @@
 	wake  time.Time
 	links map[string]*link
 
+	submission uint64 // number of the latest one
+
 	wander time.Duration // of the time of day against the steady clock
 
 	process remote // the real program, instead of a core
@@ -259,6 +263,9 @@
 		return
 	}
 	n.reply[n.ref] = f
+	if call, ok := in(n.ref).(core.UserCall); ok && call.Op == core.OpSubmit {
+		n.submission = n.ref
+	}
 	n.input(in(n.ref))
 }
 
@@ -289,7 +296,7 @@
 
 // roundTrip has a host serve a request and gives the core the input that answers
 // it, or none when that has not come within the time given.
-func (n *node) roundTrip(host string, within time.Duration, serve func(answer func(in any)), none any) {
+func (n *node) roundTrip(kind, host string, within time.Duration, serve func(answer func(in any)), none any) {
 	// A reply to an earlier life of the node reaches nobody: its numbers would
 	// mean other calls to the next one.
 	over, life := false, n.life
@@ -301,21 +308,24 @@
 			}
 		}
 	}
-	n.net.send(n.name, host, func() {
-		serve(func(in any) { n.net.send(host, n.name, deliver(in)) })
+	n.net.send(kind, n.name, host, func() {
+		serve(func(in any) { n.net.send(kind+" answer", host, n.name, deliver(in)) })
 	})
 	n.after(within, deliver(none))
 }
 
 // exchange is roundTrip with an outside service, whose protocol has a status and
 // a body; no answer has status 0.
-func (n *node) exchange(host string, within time.Duration, serve func(answer func(int, []byte)), reply func(status int, data []byte) any) {
-	n.roundTrip(host, within, func(answer func(any)) {
+func (n *node) exchange(kind, host string, within time.Duration, serve func(answer func(int, []byte)), reply func(status int, data []byte) any) {
+	n.roundTrip(kind, host, within, func(answer func(any)) {
 		serve(func(status int, data []byte) { answer(reply(status, data)) })
 	}, reply(0, nil))
 }
 
 func (n *node) do(o any) {
+	if n.lie != nil {
+		o = n.lie(n, o)
+	}
 	switch o := o.(type) {
 	case core.AnswerUser:
 		n.answer(o.Ref, o)
@@ -324,7 +334,11 @@
 		n.answer(o.Ref, o)
 	case core.StoreCall:
 		method, path, body := state.Request(o)
-		n.exchange("state", o.Within, func(answer func(int, []byte)) {
+		kind := "state"
+		if o.Op == core.StoreTxn {
+			kind = "txn"
+		}
+		n.exchange(kind, "state", o.Within, func(answer func(int, []byte)) {
 			n.store.serve(n.name, method, path, body, answer)
 		}, func(status int, data []byte) any {
 			r := core.StoreReply{Outcome: core.Unknown}
@@ -336,7 +350,11 @@
 		})
 	case core.CloudCall:
 		method, path, body := cloud.Request(o)
-		n.exchange("cloud", o.Within, func(answer func(int, []byte)) {
+		kind := "cloud"
+		if o.Op == core.CloudRelease {
+			kind = "release"
+		}
+		n.exchange(kind, "cloud", o.Within, func(answer func(int, []byte)) {
 			n.cloud.serve(method, path, body, answer)
 		}, func(status int, data []byte) any {
 			r := core.CloudReply{Outcome: core.Unknown}
@@ -348,7 +366,7 @@
 		})
 	case core.ProbeCall:
 		host := strings.TrimSuffix(o.Address, workerPort)
-		n.roundTrip(host, o.Within, func(answer func(any)) {
+		n.roundTrip("probe", host, o.Within, func(answer func(any)) {
 			if m := n.workers[host]; m != nil {
 				m.do(func() {
 					outcome, rep := m.command(o.Epoch, o.Tenure)
@@ -359,9 +377,9 @@
 	case core.PeerSend:
 		for _, p := range n.nodes {
 			if p.name == o.To && n.links[p.name].up {
-				msg := o.Msg
-				n.net.send(n.name, p.name, func() {
-					if p.alive {
+				msg, life := o.Msg, p.life
+				n.net.send("peer", n.name, p.name, func() {
+					if p.alive && p.life == life { // else the connection has gone with it
 						p.input(core.PeerIn{From: n.name, Msg: msg})
 					}
 				})
