--- /dev/null
+++ b/internal/api/fuzz_test.go
@@ -0,0 +1,48 @@
+package api
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"yewpass/internal/core"
+	"yewpass/internal/spec"
+)
+
+// FuzzBody: the body of a report, of a probe's answer or of a submission is refused
+// with the name of a field, or is within bounds.
+func FuzzBody(f *testing.F) {
+	for _, s := range []string{
+		`{"host":"h","address":"h:1","flavor":"s","hall":"a","tenure":1,"counter":18446744073709551615,"epoch":18446744073709551615,"warningS":1e308,"shards":[{"shard":"wk-1/0","try":1,"status":"running"},{"shard":"wk-1/0","try":1,"status":"?"}]}`,
+		`{"host":"h","flavor":"s","hall":"a","tenure":0,"counter":1,"shards":[{"shard":"wk-1/100000"}]}`,
+		`{"host":"h h","flavor":"s","hall":"a","tenure":1,"counter":1,"warningS":-3,"shards":null}`,
+		`{"id":"wk-1","jobclass":"c","owner":"o","shape":"array","urgency":"idle","shards":100000,"vcpus":1e6,"gpus":0,"memGb":1e7,"bundle":"i","sizeGb":0,"flavors":null,"hall":null,"samePlace":false,"apart":false,"reclaimable":true,"runtimeS":1e8,"snapshotEveryS":0,"snapshotS":0,"dueS":0}`,
+		`{"id":"wk-1","shards":1e5,"vcpus":-0.0,"dueS":null}`, `{"id":"wk-0000000000000000000000000000000000","jobclass":"\ud800"}`,
+		`null`, `[]`, `"x"`, ``, "\xff", strings.Repeat(`{"a":`, 12000),
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r reportJSON
+		if json.Unmarshal(data, &r) == nil {
+			if rep, bad := r.report(); bad == "" {
+				if rep.Host == "" || rep.Flavor == "" || rep.Tenure == 0 || rep.Notice > 200*365*24*time.Hour || rep.Notice < -200*365*24*time.Hour {
+					t.Fatalf("%+v", rep)
+				}
+				for _, x := range rep.Tasks {
+					if x.Task.Index < 0 || x.Task.Index >= core.MaxTasks || x.Task.Job == "" {
+						t.Fatalf("%+v", x)
+					}
+				}
+			}
+		}
+		var s spec.Submission
+		if json.Unmarshal(data, &s) == nil {
+			job, field, reason := s.Job()
+			if job == nil && (field == "" || reason == "") || job != nil && !job.Sound() {
+				t.Fatalf("%+v %q %q", job, field, reason)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/cloud/fuzz_test.go
@@ -0,0 +1,40 @@
+package cloud
+
+import (
+	"testing"
+
+	"yewpass/internal/core"
+	"yewpass/internal/timeline"
+)
+
+// FuzzDecode: an answer of the cloud is an unknown outcome or something a cloud has.
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{
+		`{"flavors":[{"name":"s","vcpus":8,"gpus":1,"memGb":64,"fetchGbPerS":0.5,"rate":1,"lowPrice":0.3,"readyS":20,"halls":["a"]}]}`,
+		`{"flavors":[{"name":"s","vcpus":1e308,"readyS":-1e308}]}`, `{"hosts":["h1","h2","h3"]}`, `{"hosts":[{"id":"h2","ageS":1e308},{"id":"h1"}],"truncated":true}`,
+		`{"error":"no capacity"}`, `{"error":7}`, ``, "\xff", `null`, `[]`,
+	} {
+		for op := core.CloudCatalog; op <= core.CloudList; op++ {
+			f.Add(int(op), 200, []byte(s))
+		}
+		f.Add(int(core.CloudRent), 503, []byte(s))
+	}
+	f.Fuzz(func(t *testing.T, op, status int, data []byte) {
+		r := Decode(core.CloudCall{Op: core.CloudOp(op), Count: 2, After: "h1"}, status, data)
+		if r.Outcome == core.OK && status != 200 || len(r.Hosts) > 2 {
+			t.Fatalf("%+v", r)
+		}
+		for _, x := range r.Flavors {
+			if x.Name == "" || x.Capacity.CPU <= 0 || x.Capacity.GPU < 0 || x.Capacity.Mem < 0 || x.Ready < 0 || x.Ready > timeline.Forever || !(x.Rate >= 0) || !(x.FetchGBps >= 0) {
+				t.Fatalf("%+v", x)
+			}
+		}
+		last := "h1"
+		for _, x := range r.Listed {
+			if x.Host <= last || x.Age > timeline.Forever || x.Age < -timeline.Forever {
+				t.Fatalf("%+v after %s", x, last)
+			}
+			last = x.Host
+		}
+	})
+}
--- a/internal/core/bits_test.go
+++ b/internal/core/bits_test.go
@@ -43,3 +43,32 @@
 		}
 	}
 }
+
+// FuzzChunk: a record of progress is read whole, within the job, or not at all.
+func FuzzChunk(f *testing.F) {
+	for _, s := range []string{"", "0-5,9", "=AAAAAAAAAAE", "0-16383", "5-3", "0-7,x", "-", "=", "99999999999999999999", "0-9223372036854775807"} {
+		f.Add(0, 40, s)
+		f.Add(chunkTasks, chunkTasks+70, s)
+	}
+	f.Fuzz(func(t *testing.T, from, tasks int, s string) {
+		if tasks < 1 || tasks > MaxTasks || from < 0 || from >= tasks || from%chunkTasks != 0 {
+			return
+		}
+		b := newBitset(tasks)
+		if !b.decodeChunk(from, tasks, s) {
+			if b.first() >= 0 {
+				t.Fatal("read in part")
+			}
+			return
+		}
+		for i := range len(b) * 64 {
+			if b.has(i) && (i < from || i >= from+chunkTasks || i >= tasks) {
+				t.Fatal(i, "is not of this chunk")
+			}
+		}
+		again := newBitset(tasks)
+		if text := b.encodeChunk(from); !again.decodeChunk(from, tasks, text) || again.encodeChunk(from) != text {
+			t.Fatalf("%q comes back as %q", s, text)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operators/fuzz_test.go
@@ -0,0 +1,46 @@
+package operators
+
+import (
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"yewpass/internal/policy"
+)
+
+// FuzzParse: an operators' file is refused in one line, or its expressions give
+// numbers that can be used, whatever they divide by.
+func FuzzParse(f *testing.F) {
+	if data, err := os.ReadFile("../../deploy/operators.toml"); err == nil {
+		f.Add(data)
+		f.Add([]byte(strings.ReplaceAll(string(data), "#:", "")))
+	} else {
+		f.Fatal(err)
+	}
+	f.Add([]byte("[policy]\nmargin = \"1.0/(backlog_s-backlog_s)\"\nwarm = \"(late_s-late_s)/(late_s-late_s)\""))
+	f.Add([]byte("[policy]\nrefuse = \"class[0:9] == owner\""))
+	f.Add([]byte("[calendars.x]\ncountry = \"XX\"\nicalendar = [\"/dev/null/x\"]"))
+	f.Add([]byte("[policy]\nmargin = \"" + strings.Repeat("(", 3000) + "\""))
+	f.Add([]byte("\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if strings.Contains(string(data), "icalendar") && strings.Contains(string(data), "/") {
+			return // of this machine's files none is to be read
+		}
+		x, err := Parse(data, t.TempDir())
+		if err != nil {
+			if strings.Contains(strings.TrimSpace(err.Error()), "\n") {
+				t.Fatalf("more than a line: %q", err)
+			}
+			return
+		}
+		for _, e := range []policy.Env{{}, {Class: "c", Dated: true, LateS: 1e18, BacklogS: math.MaxFloat64, ReportS: 3, LeaseS: 20}} {
+			for _, v := range []float64{x.Policy.Margin(e), x.Policy.Warm(e), x.Policy.HoldIdle(e), x.Policy.SilentRelease(e)} {
+				if !(v >= 0 && v <= 1e8) {
+					t.Fatal(v)
+				}
+			}
+			x.Policy.Refuse(e)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"testing"
+
+	"yewpass/internal/core"
+)
+
+// FuzzLine: what passes as a message is one that the core can take.
+func FuzzLine(f *testing.F) {
+	for _, s := range []string{
+		`{"from":"a","kind":"ping"}`, `{"from":"a","kind":"leader","term":18446744073709551615}`, `{"from":"a","kind":"ack","term":7}`,
+		`{"from":"a","kind":"call","ref":1,"op":"submit","id":"wk-1"}`, `{"from":"a","kind":"call","op":"submit","id":"wk-1","spec":{"id":"wk-1","tasks":3,"cpus":1e300}}`,
+		`{"from":"a","kind":"call","op":"submit","id":"wk-1","spec":{"id":"wk-1","tasks":3,"cpus":1,"runtimeMs":9223372036854775807}}`,
+		`{"from":"a","kind":"call","op":"schedule upcoming","schedule":{"name":"x","count":9}}`, `{"from":"a","kind":"call","op":"schedule put","schedule":{"name":"x","file":{}}}`,
+		`{"from":"a","kind":"answer","ref":1,"answer":{"status":0}}`, `{"from":"a","kind":"answer","ref":1,"answer":{"status":200,"state":"done","retryMs":-1}}`,
+		`{"from":"b"}`, `null`, `[[[[`, "\xff",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		in, ping, reason := parse(line, map[string]bool{"a": true})
+		if reason != "" || ping {
+			return
+		}
+		m := in.Msg
+		switch m.Kind {
+		case core.PeerLeader, core.PeerAck:
+			if m.Term == 0 || m.Term > core.MaxTerm {
+				t.Fatal(m.Term)
+			}
+		case core.PeerCall:
+			if !m.Sound() || m.Op == core.OpSubmit && !m.Spec.Sound() {
+				t.Fatalf("%+v", m)
+			}
+		case core.PeerAnswer:
+			if m.Answer.Status < 200 || m.Answer.RetryAfter < 0 || !m.Answer.View.State.Known() {
+				t.Fatalf("%+v", m.Answer)
+			}
+		default:
+			t.Fatal(m.Kind)
+		}
+	})
+}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -293,3 +293,21 @@
 		}
 	})
 }
+
+// FuzzHistory: a history at rest is malformed, or comes back as it is.
+func FuzzHistory(f *testing.F) {
+	f.Add("wk-1,a,b,,,,done,l,why%20not;")
+	f.Add("wk-1,zzzzzzzzzzzzz,,,,,made,,;wk-2,,,,,,missed,,;")
+	f.Add("x")
+	f.Fuzz(func(t *testing.T, past string) {
+		es, ok := (&Record{Past: past}).Entries()
+		if !ok {
+			return
+		}
+		r := &Record{Past: past}
+		for _, e := range es {
+			r.Entry(e.Job)
+		}
+		r.Told(time.UTC)
+	})
+}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -286,6 +286,9 @@
 	Number uint64 `json:"number"`
 }
 
+// maxTime is in the year 2500: a schedule at a later time was never written.
+const maxTime = 16_725_225_600_000
+
 func toMS(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
@@ -308,7 +311,10 @@
 	r := &schedule.Record{Number: j.Number, Seq: j.Seq, Edition: j.Edition, File: j.File, Paused: j.Paused, Cursor: schedule.Cursor{Nominal: fromMS(j.Cursor), Rule: fromMS(j.Rule)},
 		LastJob: j.LastJob, Made: j.Made, Missed: j.Missed, Late: j.Late, Past: j.Past}
 	_, ok := r.Entries()
-	return r, ok && j.Number > 0 && len(j.File) > 0
+	for _, ms := range []int64{j.Cursor, j.Rule} {
+		ok = ok && ms >= 0 && ms < maxTime
+	}
+	return r, ok && j.Number > 0 && j.Number <= schedule.MaxNumber && len(j.File) > 0
 }
 
 // SpecRecord is a job's description as records and peers carry it.
--- /dev/null
+++ b/internal/state/fuzz_test.go
@@ -0,0 +1,67 @@
+package state
+
+import (
+	"strings"
+	"testing"
+
+	"yewpass/internal/core"
+	"yewpass/internal/schedule"
+)
+
+// FuzzDecode: an answer of the state service is an unknown outcome, or what the
+// protocol promises for the call; a record is one of ours, whole, or none.
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{
+		`{"k":"a/wk-1","v":{"type":"job","spec":{"id":"wk-1","tasks":2,"cpus":1},"submittedMs":5},"keyRev":4,"grant":7}`,
+		`{"k":"a/wk-1","v":{"type":"job","spec":{"id":"wk-1","tasks":2,"cpus":-1e300,"dueMs":9223372036854775807}},"keyRev":4}`,
+		`{"k":"a/wk-1","v":{"type":"final","state":"done","done":-3},"keyRev":4}`, `{"k":"a/wk-1","v":{"type":"term","term":18446744073709551615},"keyRev":4}`,
+		`{"entries":[{"k":"a/wk-1","v":{"type":"progress","ranges":"0-9"},"keyRev":1},{"k":"a/wk-2","v":{"type":"machines","machines":[{"host":""}]},"keyRev":2}],"truncated":true,"storeRev":9}`,
+		`{"k":"a/wk-1","v":{"type":"schedule","number":1,"file":{},"cursorMs":-9223372036854775808,"past":"x"},"keyRev":4}`,
+		`{"failed":["a"]}`, `{"storeRev":3}`, `{"grant":7}`, `<html>`, ``, "\xff", `null`, strings.Repeat("[", 20000),
+	} {
+		for op := core.StoreGet; op <= core.StoreFollow; op++ {
+			f.Add(int(op), 200, []byte(s))
+		}
+		f.Add(int(core.StoreGet), 404, []byte(s))
+		f.Add(int(core.StoreTxn), 409, []byte(s))
+	}
+	f.Fuzz(func(t *testing.T, op, status int, data []byte) {
+		call := core.StoreCall{Op: core.StoreOp(op), Key: "a/", Grant: 7}
+		if call.Op == core.StoreGet {
+			call.Key = "a/wk-1"
+		}
+		r := Decode(call, status, data)
+		if r.Outcome == core.OK && status != 200 || r.Outcome == core.Missing && status != 404 && status != 410 {
+			t.Fatalf("%v for %d", r.Outcome, status)
+		}
+		last := ""
+		for _, e := range r.Entries {
+			if !strings.HasPrefix(e.Key, call.Key) || e.Key <= last {
+				t.Fatalf("%q after %q", e.Key, last)
+			}
+			last = e.Key
+			switch v := e.Value.(type) {
+			case *core.JobRecord:
+				if !v.Spec.Sound() || !strings.HasSuffix(e.Key, v.Spec.ID) {
+					t.Fatalf("%+v", v)
+				}
+			case *core.FinalRecord:
+				if v.Done < 0 || v.State != core.Done && v.State != core.Cancelled {
+					t.Fatalf("%+v", v)
+				}
+			case *core.TermRecord:
+				if v.Term == 0 || v.Term > core.MaxTerm {
+					t.Fatalf("%+v", v)
+				}
+			case *core.MachineRecord:
+				if len(v.Machines) == 0 {
+					t.Fatal("a record of no machines")
+				}
+			case *schedule.Record:
+				if _, ok := v.Entries(); !ok {
+					t.Fatalf("%+v", v)
+				}
+			}
+		}
+	})
+}
