--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,7 @@
 	out []any
 
 	wander time.Duration
+	began  time.Time // the first input
 
 	ref       uint64
 	stores    map[uint64]func(StoreReply)
@@ -101,6 +102,7 @@
 	c.now = now
 	c.out = c.out[:0]
 	if first {
+		c.began = now
 		c.watch()
 	}
 	c.alarms()
@@ -220,8 +222,14 @@
 // Ready reports whether the node can take requests: it leads, or knows who
 // does, or can at least read the state service for its users.
 func (c *Core) Ready() bool {
-	if c.lead != nil {
-		return c.lead.loaded
+	if l := c.lead; l != nil {
+		// Out of authority, and no peer in reach that would know of another leader:
+		// users are served better anywhere else.
+		alone := len(c.cfg.Seeds) > 0 && l.held && c.now.Sub(l.until) > apartFor
+		for _, up := range c.links {
+			alone = alone && !up
+		}
+		return l.loaded && !alone
 	}
 	return c.hint != "" && (c.links[c.hint] || c.stateUp && c.now.Sub(c.apart) < apartFor)
 }
@@ -232,4 +240,17 @@
 const apartFor = 4 * time.Second
 
 // Leads reports whether the node leads and has authority at the given time.
-func (c *Core) Leads(now time.Time) bool { return c.lead != nil && now.Before(c.lead.until) }
+func (c *Core) Leads(now time.Time) bool {
+	return c.lead != nil && now.Before(c.lead.until) && c.ahead(now)-c.lead.ahead < clockJump
+}
+
+// clockJump is by how much the time of day may run ahead of the steady clock between
+// renewals. A machine that was put to sleep wakes with a steady clock that has stood
+// still: by that it would still lead, long after its grant. A time of day that is set
+// costs no more than the time to the next renewal.
+const clockJump = time.Second
+
+// ahead is how far the time of day has run ahead of the steady clock so far.
+func (c *Core) ahead(now time.Time) time.Duration {
+	return now.Round(0).Add(c.wander).Sub(c.began.Round(0)) - now.Sub(c.began)
+}
--- a/internal/core/edges_test.go
+++ b/internal/core/edges_test.go
@@ -261,3 +261,42 @@
 }
 
 func testRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+// TestClockStopped: a machine that slept an hour wakes with a steady clock that did
+// not go on meanwhile. It does not lead by that until a renewal has been answered; nor
+// does a time of day that is set end more than that.
+func TestClockStopped(t *testing.T) {
+	c := leaderOf(t, 1)
+	c.began = t0
+	l := c.lead
+	j := newJob(c, 1, 1, testRand())
+	c.book(j)
+	if !c.Leads(t0) {
+		t.Fatal("does not lead")
+	}
+	c.SetWander(time.Hour)
+	for _, o := range c.Step(t0.Add(time.Millisecond), ReportIn{Ref: 5, Report: Report{Host: l.fleet[0].host, Flavor: "f0", Zone: "a", Tenure: 1, Counter: 2, Epoch: 1}}) {
+		if a, ok := o.(AnswerReport); ok && len(a.Orders) > 0 {
+			t.Errorf("starts after an hour's sleep: %+v", a)
+		}
+	}
+	if c.Leads(c.now) || !l.held {
+		t.Error("leads on after an hour's sleep")
+	}
+	c.renew()
+	var ref uint64
+	for _, o := range c.out {
+		if s, ok := o.(StoreCall); ok && s.Op == StoreExtend {
+			ref = s.Ref
+		}
+	}
+	l.until = time.Time{}
+	c.Step(c.now.Add(time.Millisecond), StoreReply{Ref: ref})
+	if !c.Leads(c.now) || l.held {
+		t.Error("a renewal that is answered does not count")
+	}
+	c.SetWander(-time.Hour)
+	if !c.Leads(c.now) {
+		t.Error("a time of day that is set back ends the authority")
+	}
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -312,7 +312,14 @@
 		// A try that is applied late must not bring back a job that is over.
 		when:   []Cond{{finalKeys + j.spec.ID, 0}},
 		writes: []Write{{Key: jobKeys + j.spec.ID, Value: &rec}},
-		failed: func() { j.answerCancels(c, unavailable("the job has just ended, try again")) },
+		failed: func() {
+			j.answerCancels(c, unavailable("the job has just ended, try again"))
+			c.readBackKey(finalKeys+j.spec.ID, func(e Entry, _ bool) {
+				if f, _ := e.Value.(*FinalRecord); f != nil && c.lead.jobs[j.spec.ID] == j {
+					c.closed(j, *f)
+				}
+			})
+		},
 		done: func(uint64) {
 			j.cancelling, j.cancelled, j.rec = false, true, &rec
 			c.unbook(j)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -17,8 +17,9 @@
 	term    uint64
 	termRev uint64 // every write is conditional on it: a late one fails under a successor
 	grant   uint64
-	until   time.Time // authority ends here unless a renewal succeeds
-	since   time.Time // elected
+	until   time.Time     // authority ends here unless a renewal succeeds
+	since   time.Time     // elected
+	ahead   time.Duration // of the time of day, when the last good renewal was sent
 	acked   map[string]bool
 	ackedAt time.Time // when the last peer had taken note of our term
 	held    bool      // out of authority, answering reports only
@@ -169,7 +170,7 @@
 		return
 	}
 	retry := func() { c.after(c.jitter(200*time.Millisecond), c.watch) }
-	sent := c.now // authority counts from before the grant was asked for
+	sent, ahead := c.now, c.ahead(c.now) // authority counts from before the grant was asked for
 	c.store(StoreCall{Op: StoreGrant, TTL: grantTTL}, func(g StoreReply) {
 		if g.Outcome != OK {
 			retry()
@@ -203,7 +204,7 @@
 					drop()
 					return
 				}
-				c.begin(term, r.Rev, g.Grant, sent)
+				c.begin(term, r.Rev, g.Grant, sent, ahead)
 			})
 		})
 	})
@@ -236,11 +237,11 @@
 }
 
 // begin begins a term.
-func (c *Core) begin(term, rev, grant uint64, sent time.Time) {
+func (c *Core) begin(term, rev, grant uint64, sent time.Time, ahead time.Duration) {
 	st := c.cfg.Settings.State
 	c.termMax, c.confirmed, c.hint = term, term, ""
 	c.lead = &leadership{
-		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now,
+		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now, ahead: ahead,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
 		teams: map[string]*team{}, est: newEstimates(), gone: newForgetful(c.now), machines: map[string]*machine{},
 		owed: map[string]bool{}, unread: map[string]bool{}, lost: map[string]uint64{}, holding: map[uint64]*machine{},
@@ -301,12 +302,12 @@
 // time again after an outage, and the same term then goes on.
 func (c *Core) renew() {
 	l := c.lead
-	sent := c.now
+	sent, ahead := c.now, c.ahead(c.now)
 	c.leaderStore(StoreCall{Op: StoreExtend, Grant: l.grant, TTL: grantTTL, Within: grantTTL / 2}, func(r StoreReply) {
 		switch r.Outcome {
 		case OK:
 			if u := authorityFrom(sent); u.After(l.until) {
-				l.until = u
+				l.until, l.ahead = u, ahead
 			}
 			if l.held && c.leads() {
 				l.held = false
@@ -460,7 +461,7 @@
 // leadPump runs after each input while we lead.
 func (c *Core) leadPump() {
 	l := c.lead
-	if !c.now.Before(l.until) {
+	if !c.leads() {
 		if !l.held {
 			l.held = true
 			c.note(slog.LevelWarn, "authority lapsed, holding the workers", "term", l.term, "hold", c.hold)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -167,7 +167,8 @@
 			c.release(c.machine(rep.Host, rep.Flavor, rep.Zone, rep.Reclaimable))
 		})
 		return
-	case !c.leads() && c.now.After(l.until.Add(c.hold)):
+	case !c.leads() && (c.now.After(l.until.Add(c.hold)) || c.now.Before(l.until)):
+		// The hold is over, or our clock has stood still and cannot say.
 		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
 		return
 	case l.gone.has(rep.Host):
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -33,7 +33,7 @@
 	}
 	c := New(cfg, pol, calendar.NewSet(nil), 7)
 	c.now = t0
-	c.begin(1, 1, 1, t0)
+	c.begin(1, 1, 1, t0, 0)
 	c.out = nil
 	l := c.lead
 	l.loaded, l.margin, l.until = true, 0.15, t0.Add(1000*time.Hour)
--- a/internal/core/schedule_users.go
+++ b/internal/core/schedule_users.go
@@ -46,6 +46,10 @@
 		c.answer(call, AnswerUser{Status: 200, Doc: c.listSchedules(q)})
 		return
 	}
+	if sch.unread[q.Name] {
+		c.answer(call, unavailable("the schedule's record cannot be read"))
+		return
+	}
 	s := sch.byName[q.Name]
 	if s == nil {
 		if call.Op == OpSchedulePut {
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -17,7 +17,8 @@
 // that follows can neither make an occurrence twice nor pass one over.
 type schedules struct {
 	byName map[string]*scheduled
-	names  []string // sorted
+	names  []string        // sorted
+	unread map[string]bool // whose records cannot be read
 	loaded bool
 
 	later byTime[place] // schedules by when their next occurrence is due
@@ -33,7 +34,7 @@
 }
 
 func newSchedules() schedules {
-	return schedules{byName: map[string]*scheduled{}, runs: map[string]*scheduled{}}
+	return schedules{byName: map[string]*scheduled{}, unread: map[string]bool{}, runs: map[string]*scheduled{}}
 }
 
 type occurrenceOf struct {
@@ -109,7 +110,8 @@
 func (c *Core) loadSchedule(e Entry) {
 	rec, _ := e.Value.(*schedule.Record)
 	if rec == nil {
-		c.note(slog.LevelError, "record is unreadable", "key", e.Key)
+		c.note(slog.LevelError, "record is unreadable", "key", e.Key, "effect", "the schedule makes no jobs and is not served")
+		c.lead.sched.unread[strings.TrimPrefix(e.Key, scheduleKeys)] = true
 		return
 	}
 	s := &scheduled{name: strings.TrimPrefix(e.Key, scheduleKeys), rec: rec, rev: e.Rev}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -177,6 +177,12 @@
 		c.serveSchedule(call)
 		return
 	}
+	if l.unread[call.ID] {
+		// Its tasks were stopped, and some may run yet: whatever becomes of the
+		// record is for the next leader to take up.
+		c.answer(call, unavailable("the job's record cannot be read"))
+		return
+	}
 	if j := l.jobs[call.ID]; j != nil {
 		if call.Op == OpCancel {
 			c.cancel(j, call)
--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -340,6 +340,14 @@
 		}
 		f.net.split(map[string]bool{cut: true}, nil, true, 9*time.Second)
 	})
+	var job map[string]any
+	json.Unmarshal(submission(&j.spec), &job)
+	delete(job, "id")
+	nightly := encode(object{"name": "nightly", "zone": "UTC", "rule": "FREQ=DAILY", "at": []string{"01:00"}, "job": job})
+	if status, _, data := l.do("PUT", "/v2/schedules/nightly", nightly); status != 201 {
+		t.Fatalf("the schedule gets %d: %s", status, data)
+	}
+	f.corrupt("yewpass/schedule/nightly", `{"type":"schedule","number":0}`)
 	f.corrupt("yewpass/live/job/wk-2", `{"type":"job","spec":{"id":"wk-2","tasks":-1}}`)
 	f.corrupt("yewpass/live/job/wk-3", `{"type":"progress","ranges":"0-1"}`)
 	var key string
@@ -358,6 +366,12 @@
 				t.Errorf("%s submitted again gets %d", b.spec.ID, status)
 			}
 		}
+		if status, _, _ := p.do("GET", "/v2/schedules/nightly", nil); status != 503 {
+			t.Errorf("the schedule gets %d", status)
+		}
+		if status, _, _ := p.do("PUT", "/v2/schedules/nightly", nightly); status != 503 {
+			t.Errorf("the schedule put again gets %d", status)
+		}
 	}
 	f.works("wk-4")
 }
