--- /dev/null
+++ b/internal/core/answers_test.go
@@ -0,0 +1,307 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"yewpass/internal/schedule"
+	"yewpass/internal/spec"
+)
+
+// desk is a leader whose calls to the outside are answered by hand.
+type desk struct {
+	*testing.T
+	c     *Core
+	ref   uint64
+	calls []any // StoreCall and CloudCall that nobody has answered
+	said  []any // all else that has come out
+}
+
+func newDesk(t *testing.T) *desk {
+	d := &desk{T: t, c: leaderOf(t, 1), ref: 1e6}
+	d.c.lead.sched.loaded = true
+	d.c.began = t0
+	d.c.lead.held = false
+	return d
+}
+
+func (d *desk) in(x any) {
+	for _, o := range slices.Clone(d.c.Step(d.c.now.Add(time.Millisecond), x)) {
+		switch o := o.(type) {
+		case StoreCall, CloudCall:
+			d.calls = append(d.calls, o)
+		case AnswerReport:
+			o.Orders = slices.Clone(o.Orders)
+			d.said = append(d.said, o)
+		default:
+			d.said = append(d.said, o)
+		}
+	}
+}
+
+// pass lets time pass.
+func (d *desk) pass(span time.Duration) {
+	for end := d.c.now.Add(span); d.c.now.Before(end); {
+		d.c.now = d.c.now.Add(50 * time.Millisecond)
+		d.in(Tick{})
+	}
+}
+
+// settle answers every call that waits: writes with the outcome, reads with nothing
+// found, and returns how many writes there were.
+func (d *desk) settle(o Outcome) (writes int) {
+	calls := d.calls
+	d.calls = nil
+	for _, x := range calls {
+		switch x := x.(type) {
+		case StoreCall:
+			r := StoreReply{Ref: x.Ref, Rev: x.Ref + 100}
+			if x.Op == StoreTxn {
+				writes++
+				r.Outcome = o
+			} else if x.Op == StoreGet {
+				r.Outcome = Missing
+			}
+			d.in(r)
+		case CloudCall:
+			r := CloudReply{Ref: x.Ref, Outcome: Refused}
+			if x.Op == CloudRelease {
+				writes++
+				r.Outcome = o
+			}
+			d.in(r)
+		}
+	}
+	return writes
+}
+
+// finish lets all that is on its way come to its end.
+func (d *desk) finish() {
+	for range 10 {
+		d.settle(OK)
+		d.pass(100 * time.Millisecond)
+	}
+}
+
+// user asks as a user does, the answers are in said.
+func (d *desk) user(op UserOp, id string, s *JobSpec, q *ScheduleCall) uint64 {
+	d.ref++
+	d.in(UserCall{Ref: d.ref, Op: op, ID: id, Spec: s, Schedule: q})
+	return d.ref
+}
+
+// answer returns the answer to a call, or none with status 0.
+func (d *desk) answer(ref uint64) AnswerUser {
+	for _, o := range d.said {
+		if a, ok := o.(AnswerUser); ok && a.Ref == ref {
+			return a
+		}
+	}
+	return AnswerUser{}
+}
+
+// report sends the machine's report and returns the orders that it gets.
+func (d *desk) report(host string, counter uint64, tasks ...TaskReport) []Order {
+	d.ref++
+	ref := d.ref
+	d.in(ReportIn{Ref: ref, Report: Report{Host: host, Address: host, Flavor: "f2", Zone: "a", Reclaimable: true, Tenure: 1, Counter: counter, Epoch: 1, Tasks: tasks}})
+	d.pass(5 * time.Second)
+	for _, o := range d.said {
+		if a, ok := o.(AnswerReport); ok && a.Ref == ref {
+			return a.Orders
+		}
+	}
+	return nil
+}
+
+func verbs(os []Order, v Verb) []Order {
+	return slices.DeleteFunc(slices.Clone(os), func(o Order) bool { return o.Verb != v })
+}
+
+func plainJob(id string, tasks int) *JobSpec {
+	return &JobSpec{ID: id, Class: "c", Owner: "t", Urgency: Standard, Tasks: tasks, CPUs: 1, MemGB: 1, Image: "i", Reclaimable: true, Runtime: time.Minute}
+}
+
+// running has a job accepted and its tasks started on the machine.
+func (d *desk) running(id string, tasks int) []TaskReport {
+	d.user(OpSubmit, id, plainJob(id, tasks), nil)
+	d.finish()
+	var ts []TaskReport
+	for _, o := range verbs(d.report("host-000000", 10), Start) {
+		ts = append(ts, TaskReport{Task: o.Task, Try: o.Try, Phase: TaskRuns})
+	}
+	if len(ts) != tasks {
+		d.Fatalf("%d of %d tasks start", len(ts), tasks)
+	}
+	d.report("host-000000", 11, ts...)
+	d.settle(OK)
+	return ts
+}
+
+func text(s string) *string     { return &s }
+func number(x float64) *float64 { return &x }
+
+func nightly() *ScheduleCall {
+	n, no, yes := 1, false, true
+	return &ScheduleCall{Name: "n", File: &schedule.File{Name: "n", Zone: "UTC", Rule: "FREQ=DAILY", At: []string{"01:00"}, Job: spec.Submission{
+		JobClass: text("c"), Owner: text("t"), Shape: text("array"), Urgency: text("idle"), Shards: &n, VCPUs: number(1), GPUs: number(0), MemGB: number(1),
+		Bundle: text("i"), SizeGB: number(1), SamePlace: &no, Apart: &no, Reclaimable: &yes, RuntimeS: number(10), SnapshotEveryS: number(0), SnapshotS: number(0)}}}
+}
+
+// TestNoAnswerBeforeItsWrite: whatever promises something is said once what it stands
+// on is known, and not while that is delayed, refused or unknown. Then it is said.
+func TestNoAnswerBeforeItsWrite(t *testing.T) {
+	ok := func(d *desk, ref uint64) func() bool {
+		return func() bool { s := d.answer(ref).Status; return s >= 200 && s < 300 }
+	}
+	schedules := func(op UserOp) func(d *desk) func() bool {
+		return func(d *desk) func() bool {
+			d.user(OpSchedulePut, "", nil, nightly())
+			d.finish()
+			return ok(d, d.user(op, "", nil, &ScheduleCall{Name: "n", Request: "r"}))
+		}
+	}
+	for name, promise := range map[string]func(d *desk) (promised func() bool){
+		"accepted": func(d *desk) func() bool {
+			ref := d.user(OpSubmit, "wk-1", plainJob("wk-1", 1), nil)
+			return ok(d, ref)
+		},
+		"accepted, asked by a peer": func(d *desk) func() bool {
+			d.in(UserCall{Ref: 7, From: "n1", Op: OpSubmit, ID: "wk-1", Spec: plainJob("wk-1", 1)})
+			return func() bool {
+				return slices.ContainsFunc(d.said, func(o any) bool {
+					p, ok := o.(PeerSend)
+					return ok && p.Msg.Kind == PeerAnswer && p.Msg.Answer.Status == 201
+				})
+			}
+		},
+		"known": func(d *desk) func() bool {
+			d.user(OpSubmit, "wk-1", plainJob("wk-1", 1), nil)
+			ref := d.user(OpSubmit, "wk-1", plainJob("wk-1", 1), nil)
+			poll := d.user(OpGet, "wk-1", nil, nil)
+			return func() bool { return ok(d, ref)() || ok(d, poll)() }
+		},
+		"cancelled": func(d *desk) func() bool {
+			d.running("wk-1", 1)
+			ref := d.user(OpCancel, "wk-1", nil, nil)
+			poll := d.user(OpGet, "wk-1", nil, nil)
+			return func() bool { return ok(d, ref)() || d.answer(poll).View.State == Cancelled }
+		},
+		"done": func(d *desk) func() bool {
+			ts := d.running("wk-1", 1)
+			ts[0].Phase, ts[0].Cause = Exited, CauseDone
+			d.report("host-000000", 12, ts...)
+			return func() bool { return d.answer(d.user(OpGet, "wk-1", nil, nil)).View.State == Done }
+		},
+		"a reap at the end of a job": func(d *desk) func() bool {
+			ts := d.running("wk-1", 1)
+			ts[0].Phase, ts[0].Cause = Exited, CauseDone
+			n := uint64(12)
+			return func() bool { n++; return len(verbs(d.report("host-000000", n, ts...), Reap)) > 0 }
+		},
+		"a reap in the middle of a job": func(d *desk) func() bool {
+			ts := d.running("wk-1", 2)
+			ts[0].Phase, ts[0].Cause = Exited, CauseDone
+			n := uint64(12)
+			return func() bool { n++; return len(verbs(d.report("host-000000", n, ts...), Reap)) > 0 }
+		},
+		"a start on a new machine": func(d *desk) func() bool {
+			m := d.c.lead.fleet[0]
+			m.condemned = true
+			d.user(OpSubmit, "wk-1", plainJob("wk-1", 1), nil)
+			d.finish()
+			n := uint64(0)
+			return func() bool { n++; return len(verbs(d.report("host-2", n), Start)) > 0 }
+		},
+		"a release": func(d *desk) func() bool {
+			d.running("wk-1", 1)
+			d.c.release(d.c.lead.fleet[0])
+			j := d.c.lead.jobs["wk-1"]
+			return func() bool {
+				d.c.after(0, d.c.pumpReleases)
+				d.in(Tick{})
+				return j.waiting > 0
+			}
+		},
+		"schedule stored": func(d *desk) func() bool {
+			ref := d.user(OpSchedulePut, "", nil, nightly())
+			return ok(d, ref)
+		},
+		"schedule paused":  schedules(OpSchedulePause),
+		"schedule removed": schedules(OpScheduleDelete),
+		"schedule run now": schedules(OpScheduleRun),
+	} {
+		for _, bad := range []Outcome{Unknown, Refused} {
+			t.Run(name, func(t *testing.T) {
+				d := newDesk(t)
+				promised := promise(d)
+				for range 3 {
+					if promised() {
+						t.Fatal("said before its write")
+					}
+					for range 5 { // news in bulk wait a little before they go
+						if d.settle(bad) > 0 {
+							break
+						}
+						d.pass(500 * time.Millisecond)
+					}
+					d.pass(3 * time.Second)
+				}
+				if promised() {
+					t.Fatal("said on the word of no write")
+				}
+				for range 20 {
+					d.settle(OK)
+					d.pass(500 * time.Millisecond)
+				}
+				if !promised() {
+					t.Fatal("never said")
+				}
+			})
+		}
+	}
+}
+
+// TestNoAnswerOfAnotherTerm: who waits for a write that a newer term has overtaken
+// hears that it is not known, and what a poll hears is as old as the records.
+func TestNoAnswerOfAnotherTerm(t *testing.T) {
+	d := newDesk(t)
+	ref := d.user(OpSubmit, "wk-1", plainJob("wk-1", 1), nil)
+	for _, x := range d.calls {
+		if call, ok := x.(StoreCall); ok && call.Op == StoreTxn {
+			if !slices.Contains(call.When, Cond{termKey, 1}) {
+				t.Errorf("a write without the condition of the term: %+v", call.When)
+			}
+			d.in(StoreReply{Ref: call.Ref, Outcome: Conflict, Failed: []string{termKey}})
+		}
+	}
+	if a := d.answer(ref); a.Status != 503 {
+		t.Errorf("%+v", a)
+	}
+	if d.c.lead != nil {
+		t.Error("leads on")
+	}
+}
+
+// TestNothingFound: 404 takes two answers of the state service that say so.
+func TestNothingFound(t *testing.T) {
+	for _, o := range []Outcome{Missing, Unknown, Refused, Invalid} {
+		d := newDesk(t)
+		ref := d.user(OpGet, "wk-1", nil, nil)
+		for i := range 2 {
+			call := d.calls[len(d.calls)-1].(StoreCall)
+			r := StoreReply{Ref: call.Ref, Outcome: Missing}
+			if i == 1 {
+				r.Outcome = o
+			}
+			if d.answer(ref).Status != 0 {
+				t.Fatal("an answer before it is known")
+			}
+			d.in(r)
+		}
+		if a := d.answer(ref); (a.Status == 404) != (o == Missing) {
+			t.Errorf("outcome %v: %+v", o, a)
+		}
+	}
+}
