--- a/internal/core/edges_test.go
+++ b/internal/core/edges_test.go
@@ -300,3 +300,22 @@
 		t.Error("a time of day that is set back ends the authority")
 	}
 }
+
+// TestPoisonedRecord: a record that a fault of ours cannot take in is set aside, and
+// its job is answered 503; the others are served.
+func TestPoisonedRecord(t *testing.T) {
+	c := leaderOf(t, 1)
+	l := c.lead
+	bad := &JobRecord{Spec: JobSpec{ID: "wk-1", Owner: "t", Tasks: -1000}} // no bitset has so few members
+	good := &JobRecord{Spec: JobSpec{ID: "wk-2", Owner: "t", Tasks: 2}}
+	c.loadEntry(Entry{Key: jobKeys + "wk-1", Value: bad, Rev: 3})
+	c.loadEntry(Entry{Key: jobKeys + "wk-2", Value: good, Rev: 4})
+	if l.jobs["wk-1"] != nil || !l.unread["wk-1"] || l.jobs["wk-2"] == nil {
+		t.Errorf("%v %v", l.jobs, l.unread)
+	}
+	c.out = c.out[:0]
+	c.serve(UserCall{Ref: 5, Op: OpGet, ID: "wk-1"})
+	if a, ok := c.out[0].(AnswerUser); !ok || a.Status != 503 {
+		t.Errorf("%+v", c.out)
+	}
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -374,11 +375,25 @@
 
 // loadEntry takes in a record of an earlier term. Its key says what must be in it;
 // anything else there cannot be read, whatever it is, and is left as it is.
+//
+// Should a fault of ours make one of them end the process, every controller would come
+// to the same end at each start, and no job would be served for the sake of one.
 func (c *Core) loadEntry(e Entry) {
 	l := c.lead
 	unreadable := func(effect string) {
 		c.note(slog.LevelError, "record is unreadable", "key", e.Key, "effect", effect)
 	}
+	defer func() {
+		if p := recover(); p != nil {
+			unreadable(fmt.Sprint("set aside: ", p))
+			if id, ok := strings.CutPrefix(e.Key, jobKeys); ok {
+				delete(l.jobs, id)
+				l.unread[id] = true
+			} else if strings.HasPrefix(e.Key, machineKeys) {
+				c.loadUnknown(e.Key, e.Rev)
+			}
+		}
+	}()
 	if id, ok := strings.CutPrefix(e.Key, jobKeys); ok {
 		if v, _ := e.Value.(*JobRecord); v == nil || v.Spec.ID != id {
 			l.unread[id] = true
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
@@ -151,7 +152,15 @@
 	s.def, s.problem = nil, ""
 	f, err := schedule.ParseJSON(s.rec.File)
 	if err == nil {
-		s.def, err = f.Compile(c.cal)
+		err = func() (err error) {
+			defer func() { // a library reads the rule; one schedule must not end them all
+				if p := recover(); p != nil {
+					err = fmt.Errorf("cannot be read: %v", p)
+				}
+			}()
+			s.def, err = f.Compile(c.cal)
+			return err
+		}()
 	}
 	if err != nil {
 		s.problem = err.Error()
