--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -44,6 +44,7 @@
 	gone        forgetful         // released, proven gone: their late reports count for nothing
 	owed        map[string]bool   // recorded machines that may hold an earlier term's tasks
 	unread      map[string]bool   // jobs whose records cannot be read
+	strays      int               // tasks of theirs on machines, which may count for any team
 	lost        map[string]uint64 // records of machines that cannot be read, by key; owed as well
 	rent        renting
 	grouped     uint64              // records of machines begun in this term
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -28,6 +28,7 @@
 	slot    *timeline.Booking
 	saved   bool   // exited, and the worker may forget it
 	counted bool   // among its job's running tasks
+	stray   bool   // of a job whose record cannot be read
 	listed  uint64 // number of the last report that listed it
 	stop    bool   // to be stopped
 	drain   time.Duration
@@ -336,6 +337,10 @@
 	if j == nil || j.done.has(t.Task.Index) || j.runs[t.Task.Index] != nil {
 		// Nobody waits for it: stop it.
 		r.stop = true
+		if c.lead.unread[t.Task.Job] {
+			r.stray = true
+			c.lead.strays++
+		}
 		if j != nil {
 			c.note(slog.LevelWarn, "task is listed twice or done, stopping it", "task", t.Task, "machine", m.host)
 		}
@@ -370,6 +375,11 @@
 		r.m.tl.Remove(r.slot)
 		r.slot = nil
 	}
+	if r.stray {
+		r.stray = false
+		c.lead.strays--
+		c.lead.dirty = true
+	}
 	if !r.holds {
 		return
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -446,7 +446,7 @@
 // mayStart reports whether tasks of the job may start at all now.
 func (c *Core) mayStart(j *job) bool {
 	l := c.lead
-	return !j.halted() && !c.now.Before(j.retryAt) && (l.settled() || !j.earlier && !j.team.limited())
+	return !j.halted() && !c.now.Before(j.retryAt) && (l.settled() || !j.earlier && !j.team.limited()) && (l.strays == 0 || !j.team.limited())
 }
 
 // couldStart reports whether a task of the job may start now wherever it fits.
