--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -440,3 +443,34 @@
 	f.until("wk-1 is done", told(core.Done, j))
 	f.works("wk-2")
 }
+
+// TestDrillSettings: a file that cannot be right ends the start with one line that
+// names file, field and reason, before a port is opened.
+func TestDrillSettings(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFront(t, site)
+	p := f.controllers(1, nil)[0]
+	good, err := os.ReadFile(p.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ from, to, field string }{
+		{"cpus_max = 40", "cpus_max = nan", "settings.teams[0].cpus_max"},
+		{"lease_s = 5", "lease_s = 1e300", "settings.workers.lease_s"},
+		{"host_name", "host_name = 7\nhost_name", "host_name"},
+		{"txn_ops = 48", "txn_ops = [[[[[[", "line"},
+	} {
+		file := filepath.Join(t.TempDir(), "settings.toml")
+		if err := os.WriteFile(file, []byte(strings.Replace(string(good), x.from, x.to, 1)), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		out, err := exec.Command(path, "--config", file).CombinedOutput()
+		if text := string(out); err == nil || strings.Count(text, "\n") != 1 || !strings.Contains(text, file) || !strings.Contains(text, x.field) {
+			t.Errorf("%s: %v, %q", x.to, err, text)
+		}
+	}
+	f.works("wk-1") // with the file as it was
+}
