--- /dev/null
+++ b/internal/core/fuzz_test.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// FuzzInputs: whatever passes the checks at the ports, in whatever order and with
+// whatever outcome of the calls that follow, ends no controller. Each byte chooses
+// what comes next or what is in it; numbers are often at the ends of what they hold.
+func FuzzInputs(f *testing.F) {
+	rng := rand.New(rand.NewPCG(2, 9))
+	for range 60 {
+		data := make([]byte, 12000)
+		for i := range data {
+			data[i] = byte(rng.Uint32())
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 20000 {
+			return
+		}
+		next := func() int {
+			if len(data) == 0 {
+				return 0
+			}
+			b := data[0]
+			data = data[1:]
+			return int(b)
+		}
+		pick := func(xs ...string) string { return xs[next()%len(xs)] }
+		num := func() uint64 { return []uint64{0, 1, 2, 3, 9, 1 << 28, MaxTerm, 1<<63 - 1, 1<<64 - 1}[next()%9] }
+		amount := func(most float64) float64 { return []float64{0, 1e-9, 0.5, 1, 4, most}[next()%6] }
+		span := func() time.Duration {
+			return []time.Duration{0, 1, time.Second, time.Minute, 1e8 * time.Second}[next()%5]
+		}
+		c := leaderOf(t, 3)
+		c.cfg.Seeds = append(c.cfg.Seeds, struct {
+			HostName string `toml:"host_name"`
+			Site     string `toml:"site"`
+			Endpoint string `toml:"endpoint"`
+		}{HostName: "n1"})
+		c.lead.sched.loaded = true
+		flavors := c.lead.rent.flavors
+		c.tickLead()
+		counter := uint64(10)
+		hosts := []string{"host-000000", "host-000001", "host-000002", "host-x", "a"}
+		jobs := []string{"wk-1", "wk-2", "wk-3", "wk-99"}
+		task := func() TaskID { return TaskID{pick(jobs...), []int{0, 1, 7, MaxTasks - 1}[next()%4]} }
+		report := func() Report {
+			r := Report{Host: pick(hosts...), Address: "x", Flavor: pick("f0", "f2", "none"), Zone: "a", Reclaimable: next()%2 == 0,
+				Tenure: 1, Epoch: 1, HasNotice: next()%9 == 0, Notice: span() - span()}
+			counter++
+			r.Counter = counter
+			if c.lead != nil {
+				r.Epoch = c.lead.term
+			}
+			switch next() % 12 { // now and then it says what no worker should
+			case 0:
+				r.Tenure = max(1, num())
+			case 1:
+				r.Counter = num()
+			case 2:
+				r.Epoch = num()
+			}
+			for range next() % 4 {
+				r.Tasks = append(r.Tasks, TaskReport{task(), num(), []Phase{Pulling, TaskRuns, Saving, Exited}[next()%4], pick(CauseDone, CauseError, CauseNoRoom, CauseStopped, "?", "")})
+			}
+			for range next() % 3 { // what it was told to start
+				if m := c.lead; m != nil && len(m.fleet) > 0 {
+					for _, x := range m.fleet[next()%len(m.fleet)].runs {
+						r.Tasks = append(r.Tasks, TaskReport{x.id, x.try, []Phase{TaskRuns, Exited}[next()%2], CauseDone})
+					}
+				}
+			}
+			return r
+		}
+		var calls []any
+		step := func(in any) {
+			c.now = c.now.Add([]time.Duration{time.Millisecond, 50 * time.Millisecond, time.Second, time.Minute}[next()%4])
+			if c.lead == nil && next()%3 == 0 {
+				rev := num()
+				c.after(0, func() { // in the step, so that what it asks for is asked
+					if c.lead == nil {
+						c.begin(min(c.confirmed+1, 1<<20), rev, 1, c.now, 0)
+					}
+				})
+			}
+			if l := c.lead; l != nil && next()%20 > 0 {
+				l.until = c.now.Add(time.Minute)
+			}
+			for _, o := range slices.Clone(c.Step(c.now, in)) {
+				switch o.(type) {
+				case StoreCall, CloudCall, ProbeCall:
+					calls = append(calls, o)
+				}
+			}
+			calls = calls[max(0, len(calls)-40):]
+		}
+		ref := uint64(1e9)
+		for len(data) > 0 {
+			ref++
+			switch next() % 14 {
+			case 0:
+				step(Tick{})
+			case 1, 2:
+				step(ReportIn{Ref: ref, Report: report()})
+			case 3:
+				s := &JobSpec{ID: pick(jobs...), Class: "c", Owner: pick("t", "nobody"), Service: next()%4 == 0, Urgency: Urgency(next() % 4), Tasks: []int{1, 2, 300, MaxTasks}[next()%4],
+					CPUs: amount(1e6), GPUs: amount(1e6), MemGB: amount(1e7), Image: "i", ImageGB: amount(1e6), Reclaimable: next()%2 == 0, SamePlace: next()%4 == 0, Apart: next()%4 == 0,
+					Runtime: span(), SnapshotEvery: span(), Snapshot: span(), Due: span(), Dated: next()%2 == 0}
+				call := UserCall{Ref: ref, Op: OpSubmit, ID: s.ID, Spec: s, From: pick("", "n1")}
+				if next()%3 == 0 {
+					call.Op, call.Spec = []UserOp{OpGet, OpCancel}[next()%2], nil
+				}
+				step(call)
+			case 4:
+				step(PeerIn{From: "n1", Msg: PeerMsg{Kind: []PeerKind{PeerAck, PeerAnswer, PeerAck, PeerAnswer, PeerLeader}[next()%5], Term: max(1, min(num(), MaxTerm)), Ref: ref,
+					Answer: &AnswerUser{Status: 200, View: JobView{ID: "wk-1", State: Done}}}})
+			case 5:
+				if q := nightly(); next()%2 == 0 {
+					ops := []UserOp{OpSchedulePut, OpSchedulePut, OpScheduleGet, OpScheduleList, OpScheduleDelete, OpSchedulePause, OpScheduleResume, OpScheduleRun, OpScheduleUpcoming, OpScheduleHistory}
+					q.Name, q.Request, q.Count = pick("n", "m"), pick("r", "s"), next()%MaxCount
+					step(UserCall{Ref: ref, Op: ops[next()%len(ops)], Schedule: q})
+					continue
+				}
+				step(PeerLink{Name: "n1", Up: next()%2 == 0})
+				step(ReportGone{Ref: ref - uint64(next())})
+			default:
+				if len(calls) == 0 {
+					continue
+				}
+				i := next() % len(calls)
+				call := calls[i]
+				calls = slices.Delete(calls, i, i+1)
+				outcome := []Outcome{OK, OK, OK, OK, OK, OK, OK, OK, OK, Conflict, Missing, Refused, Invalid, Unknown}[next()%14]
+				switch call := call.(type) {
+				case StoreCall:
+					if call.Op == StoreExtend && next()%40 > 0 {
+						outcome = OK
+					}
+					if l := c.lead; l != nil && call.Key == termKey && next()%4 > 0 {
+						step(StoreReply{Ref: call.Ref, Entries: []Entry{{Key: termKey, Value: &TermRecord{l.term}, Rev: l.termRev}}})
+						continue
+					}
+					r := StoreReply{Ref: call.Ref, Outcome: outcome, Rev: num(), Grant: 1, Failed: []string{pick("x", jobKeys+"wk-1", finalKeys+"wk-2", "y", termKey)}, More: next()%4 == 0}
+					if call.Op == StoreGet || call.Op == StoreList {
+						values := []any{nil, &JobRecord{Spec: *plainJob("wk-1", 3)}, &FinalRecord{State: Done, Done: 3}, &MachineRecord{Machines: []RecordedMachine{{Host: "host-x"}}},
+							&ProgressRecord{Ranges: "0-1"}, &LeaderRecord{Node: "n1", Term: 5}, &TermRecord{Term: 5}}
+						key := pick(call.Key, call.Key+"wk-1", call.Key+"machine/x", call.Key+"job/wk-1", call.Key+"progress/wk-1/0")
+						if call.Op == StoreGet {
+							key = call.Key
+						}
+						r.Entries = []Entry{{Key: key, Value: values[next()%len(values)], Rev: num()}}
+					}
+					step(r)
+				case CloudCall:
+					r := CloudReply{Ref: call.Ref, Outcome: outcome, More: next()%4 == 0}
+					r.Hosts = hosts[:min(call.Count, next()%3)]
+					r.Listed = []Listed{{Host: pick(hosts...), Flavor: pick("f0", "none"), Zone: "a", Status: pick("running", "failed", "?"), Age: span()}}
+					if call.Op == CloudCatalog {
+						r.Flavors = slices.Clone(flavors)
+					}
+					step(r)
+				case ProbeCall:
+					step(ProbeReply{Ref: call.Ref, Outcome: outcome, Report: report()})
+				}
+			}
+		}
+	})
+}
