--- a/internal/scenario/front_test.go
+++ b/internal/scenario/front_test.go
@@ -550,7 +550,7 @@
 	return n
 }
 
-// over reports whether the jobs' users have been told that they are done.
+// told reports whether the jobs' users have all been told this state.
 func told(state core.JobState, js ...*userJob) func() bool {
 	return func() bool {
 		for _, j := range js {
