--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -227,7 +227,7 @@
 	}
 	e := t.Entries[0]
 	if rec, _ := e.Value.(*TermRecord); rec != nil {
-		return rec.Term + 1, e.Rev
+		return max(rec.Term, c.confirmed) + 1, e.Rev // the record may be of an old copy
 	}
 	term = max(e.Rev, c.confirmed) + 1
 	c.note(slog.LevelError, "record is unreadable", "key", termKey, "effect", "terms go on above its revision", "term", term)
