--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -105,6 +105,10 @@
 	})
 }
 
+// listMost ends a list that goes on and on: names that rise for ever would have us
+// read and remember for ever. No fleet comes near it.
+const listMost = 100_000
+
 // listMachines reads the cloud's list, to find machines that an earlier leader
 // or a late request rented, and those that have failed.
 func (c *Core) listMachines(after string, got []Listed) {
@@ -119,15 +123,8 @@
 			return
 		}
 		got = append(got, r.Listed...)
-		if r.More {
-			// As often as the cloud allows: a list that goes on and on must not
-			// use up what rentals and releases need.
-			next := r.Listed[len(r.Listed)-1].Host
-			if l.rent.limit.AllowN(c.now, 1) {
-				c.listMachines(next, got)
-			} else {
-				c.whenLeading(tickEvery, func() { c.listMachines(next, got) })
-			}
+		if r.More && len(got) < listMost {
+			c.listMachines(r.Listed[len(r.Listed)-1].Host, got)
 			return
 		}
 		for _, h := range got {
