--- a/internal/scenario/front_test.go
+++ b/internal/scenario/front_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,6 +71,9 @@
 	stopReading    bool // its standard error stays open and is not read
 }
 
+// fronts counts the fronts that there have been.
+var fronts atomic.Int64
+
 // newFront begins a world whose text is set up as a scenario's, without its times.
 func newFront(t *testing.T, text string) *front {
 	t.Helper()
@@ -250,8 +254,11 @@
 func (f *front) controllers(n int, change func(p *proc)) []*proc {
 	f.t.Helper()
 	var ps []*proc
-	free := func() string { // a port that was free a moment ago
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// A port that was free a moment ago, on a loopback address of the front's own:
+	// whatever else opens ports at the same time does so on another.
+	host := fmt.Sprintf("127.%d.%d.1:0", 20+os.Getpid()%200, 1+fronts.Add(1)%250)
+	free := func() string {
+		ln, err := net.Listen("tcp", host)
 		if err != nil {
 			f.t.Fatal(err)
 		}
