--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -384,7 +384,7 @@
 func TestDrillFaultyServices(t *testing.T) {
 	f := newFront(t, site)
 	ps := f.controllers(2, nil)
-	l := f.leader()
+	f.leader()
 	j := f.job("wk-1", "tasks=2", "run=25s")
 	f.until("wk-1 is accepted", func() bool { return j.accepted })
 	twist := func(what string, d time.Duration, g func(host, path string, status int, data []byte) (int, []byte)) {
@@ -440,7 +440,6 @@
 		}
 		return status, data
 	})
-	_ = l
 	f.until("wk-1 is done", told(core.Done, j))
 	f.works("wk-2")
 }
--- a/internal/scenario/front_test.go
+++ b/internal/scenario/front_test.go
@@ -40,13 +40,23 @@
 	twist  func(host, path string, status int, data []byte) (int, []byte) // what a faulty service answers instead
 }
 
+// built is the folder that the program is built into; it goes with the tests.
+var built string
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if built != "" {
+		os.RemoveAll(built)
+	}
+	os.Exit(code)
+}
+
 // program builds the real program, once.
-var program = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "yewpass-drill")
-	if err != nil {
+var program = sync.OnceValues(func() (path string, err error) {
+	if built, err = os.MkdirTemp("", "yewpass-drill"); err != nil {
 		return "", err
 	}
-	path := filepath.Join(dir, "yewpass")
+	path = filepath.Join(built, "yewpass")
 	out, err := exec.Command("go", "build", "-o", path, "yewpass/cmd/yewpass").CombinedOutput()
 	if err != nil {
 		err = fmt.Errorf("%w: %s", err, out)
@@ -81,23 +91,18 @@
 		t.Skip("drills take their time")
 	}
 	t.Parallel()
-	s := &script{world: newWorld()}
-	for line := range strings.Lines(text) {
-		if f := strings.Fields(line); len(f) > 0 {
-			if err := s.line(f); err != nil {
-				t.Fatal(line, err)
-			}
-		}
+	s, err := read(text)
+	if err != nil {
+		t.Fatal(err)
 	}
 	w := s.world
 	w.cfg.Settings.Workers = config.Workers{Report: 1, Lease: 5, Cancel: 16}
 	w.adoptSettings(nil)
 	w.store.refilled = time.Now()
 	w.clock.start, w.clock.now = time.Now(), time.Now()
-	f := &front{world: w, t: t, over: make(chan struct{})}
+	f := &front{world: w, t: t, script: s, over: make(chan struct{})}
 	workers := f.serve(f.worker)
 	w.address = func(host string) string { return workers + "/" + host }
-	f.script = s
 	t.Cleanup(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -159,18 +164,6 @@
 	}
 }
 
-// stays checks that something is true for a while.
-func (f *front) stays(what string, d time.Duration, cond func() bool) {
-	f.t.Helper()
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		f.with(func() {
-			if !cond() {
-				f.t.Fatalf("no longer: %s", what)
-			}
-		})
-	}
-}
-
 // serve answers HTTP on a port of the system's choice.
 func (f *front) serve(h http.HandlerFunc) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/scenario/orders_test.go
+++ b/internal/scenario/orders_test.go
@@ -174,13 +174,9 @@
 // playOrder plays one order of choices; choices beyond those given are the first
 // option. widths says how many options each choice had, names which was taken.
 func playOrder(o *ordering, choices []int, lie func(n *node, out any) any) (widths []int, names []string, res Result) {
-	s := &script{world: newWorld()}
-	for line := range strings.Lines(o.text) {
-		if f := strings.Fields(line); len(f) > 0 {
-			if err := s.line(f); err != nil {
-				panic(fmt.Sprint(line, err))
-			}
-		}
+	s, err := read(o.text)
+	if err != nil {
+		panic(err)
 	}
 	s.lie = lie
 	s.begin()
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -27,7 +27,17 @@
 // Run plays a scenario. Lines that operators would log go to trace unless it is
 // nil.
 func Run(text string, trace func(string)) (Result, error) {
-	s := &script{world: newWorld(), trace: trace}
+	s, err := read(text)
+	if err != nil {
+		return Result{}, err
+	}
+	s.trace = trace
+	return s.play()
+}
+
+// read takes in a scenario's text.
+func read(text string) (*script, error) {
+	s := &script{world: newWorld()}
 	sc := bufio.NewScanner(strings.NewReader(text))
 	for n := 1; sc.Scan(); n++ {
 		line, _, _ := strings.Cut(sc.Text(), "#")
@@ -35,10 +45,10 @@
 			continue
 		}
 		if err := s.line(strings.Fields(line)); err != nil {
-			return Result{}, fmt.Errorf("line %d: %w", n, err)
+			return nil, fmt.Errorf("line %d: %w", n, err)
 		}
 	}
-	return s.play()
+	return s, nil
 }
 
 type script struct {
