--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -200,6 +200,16 @@
 			n := uint64(12)
 			return func() bool { n++; return len(verbs(d.report("host-000000", n, ts...), Reap)) > 0 }
 		},
+		"a reap of what was done twice": func(d *desk) func() bool {
+			ts := d.running("wk-1", 1)
+			ts[0].Phase, ts[0].Cause = Exited, CauseDone
+			d.report("host-000000", 12, ts...) // the final record goes on its way
+			n := uint64(1)
+			return func() bool { // another attempt of an earlier term ends as well
+				n++
+				return len(verbs(d.report("host-2", n, TaskReport{Task: ts[0].Task, Try: 3, Phase: Exited, Cause: CauseDone}), Reap)) > 0
+			}
+		},
 		"a reap in the middle of a job": func(d *desk) func() bool {
 			ts := d.running("wk-1", 2)
 			ts[0].Phase, ts[0].Cause = Exited, CauseDone
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -472,7 +472,13 @@
 	i := r.id.Index
 	if t.Cause == CauseDone {
 		m.strikes, m.suspect = 0, false
-		r.saved = j == nil && !c.lead.unread[r.id.Job] || j != nil && (j.closing || c.lead.jobs[r.id.Job] != j)
+		r.saved = j == nil && !c.lead.unread[r.id.Job] || j != nil && c.lead.jobs[r.id.Job] != j
+		if j != nil && !r.saved && j.closing && !j.cancelled {
+			// Its final record is on its way: until that is known this exit may be
+			// all that tells a successor that the task is done.
+			j.ended = append(j.ended, r)
+			return
+		}
 		if j != nil && !r.saved && !j.halted() {
 			if was == TaskRuns && !r.began.IsZero() {
 				c.observe(j, m, c.now.Sub(r.began))
