--- /dev/null
+++ b/cmd/yewpass/cluster.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"yewpass/internal/core"
+)
+
+// clusterCommand shows the controllers and hands the leadership over.
+func clusterCommand() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use: "cluster", Short: "Show who leads, and by which node machines report", Args: cobra.NoArgs,
+		Example: "  yewpass cluster --node 127.0.0.1:8080\n" +
+			"  yewpass cluster --json | jq '.nodes[] | select(.role == \"away\").name'\n" +
+			"  yewpass cluster hand-over",
+	}
+	cmd.PersistentFlags().BoolVar(&asJSON, "json", false, "print the node's answer as it is")
+	node := cmd.PersistentFlags().String("node", "127.0.0.1:8080", "address of a node's client_listen")
+	ask := func(cmd *cobra.Command, method, path string) error {
+		if asJSON {
+			return call(cmd, method, *node, path, nil)
+		}
+		var v core.Cluster
+		if err := exchange(method, *node, path, nil, nil, &v); err != nil {
+			return err
+		}
+		printCluster(cmd, &v)
+		return nil
+	}
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return ask(cmd, http.MethodGet, "/v2/cluster") }
+	cmd.AddCommand(&cobra.Command{
+		Use: "hand-over", Short: "Have the leader give its leadership to another node", Args: cobra.NoArgs,
+		Long: "The leader ends its term and another controller begins the next at once. Refused while no other is in reach or a take-over is not complete. Prints what the leader knew last.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return ask(cmd, http.MethodPost, "/v2/cluster/hand-over")
+		},
+	})
+	return cmd
+}
+
+func printCluster(cmd *cobra.Command, v *core.Cluster) {
+	out := cmd.OutOrStdout()
+	if v.Leader == "" {
+		fmt.Fprintf(out, "no leader is known to %s\n", v.Node)
+	} else {
+		fmt.Fprintf(out, "leader %s, term %d", v.Leader, v.Term)
+		if v.LeadsS > 0 {
+			fmt.Fprintf(out, ", for %s, authority %v, take-over complete %v, %d machines of at most %d, %d unaccounted",
+				(time.Duration(v.LeadsS * float64(time.Second))).Round(time.Second), v.Authority, v.TookOver, v.Machines, v.MachineMost, v.Unaccounted)
+		}
+		fmt.Fprintf(out, ", told by %s\n", v.Node)
+	}
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "NODE\tZONE\tROLE\tLINK\tWORKERS\tLAG")
+	for _, n := range v.Nodes {
+		lag := "-"
+		if n.LagS > 0 {
+			lag = time.Duration(n.LagS * float64(time.Second)).Round(time.Millisecond).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%s\n", n.Name, n.Zone, n.Role, n.Link, n.Workers, lag)
+	}
+	w.Flush()
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -58,6 +58,8 @@
 	r.GET("/v2/runs/:id", s.get)
 	r.POST("/v2/runs/:id/cancel", s.cancel)
 	s.schedules(r)
+	r.GET("/v2/cluster", s.cluster(core.OpCluster))
+	r.POST("/v2/cluster/hand-over", s.cluster(core.OpHandOver))
 	r.POST("/hello", s.hello)
 	r.GET("/ready", s.isReady)
 	r.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -210,6 +212,13 @@
 	s.known(w, r, core.OpCancel, p.ByName("id"))
 }
 
+// cluster serves what operators ask of the controllers.
+func (s *Server) cluster(op core.UserOp) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		s.user(w, r, core.UserCall{Op: op})
+	}
+}
+
 func (s *Server) known(w http.ResponseWriter, r *http.Request, op core.UserOp, id string) {
 	if !spec.ValidID(id) {
 		fail(w, http.StatusNotFound, "id", "no such job", 0)
--- /dev/null
+++ b/internal/core/cluster.go
@@ -0,0 +1,118 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Cluster is what a node knows of the controllers. Numbers of machines are the
+// leader's own; a node that cannot ask it tells what it knows itself.
+type Cluster struct {
+	Node        string        `json:"node"`                // that tells
+	Leader      string        `json:"leader"`              // "" while none is known
+	Term        uint64        `json:"term"`                //
+	LeadsS      float64       `json:"leadsSeconds"`        // since it was elected; 0 where the leader does not tell
+	Authority   bool          `json:"authority"`           // the leader's grant lives
+	TookOver    bool          `json:"takeOverComplete"`    // every machine of earlier terms is accounted for
+	Machines    int           `json:"machines"`            //
+	Unaccounted int           `json:"machinesUnaccounted"` //
+	MachineMost int           `json:"machinesMost"`        // that the controllers can serve
+	Nodes       []ClusterNode `json:"nodes"`
+}
+
+// ClusterNode is one controller.
+type ClusterNode struct {
+	Name    string  `json:"name"`
+	Zone    string  `json:"zone"`
+	Role    string  `json:"role"`       // leader, relay, or away: it takes no workers for the leader
+	Link    bool    `json:"link"`       // from the node that tells
+	Workers int     `json:"workers"`    // that report by it
+	LagS    float64 `json:"lagSeconds"` // since its last line; 0 for the leader
+}
+
+// cluster returns what is known here.
+func (c *Core) cluster() *Cluster {
+	v := &Cluster{Node: c.cfg.HostName, Leader: c.hint, Term: c.termMax}
+	own := ClusterNode{Name: c.cfg.HostName, Zone: c.cfg.Site, Role: "relay", Link: true, Workers: len(c.relay.known)}
+	l := c.lead
+	if l != nil {
+		v.Leader, v.Term, v.LeadsS, v.Authority = c.cfg.HostName, l.term, c.now.Sub(l.since).Seconds(), c.leads()
+		v.TookOver, v.Machines, v.Unaccounted, v.MachineMost = l.loaded && l.settled(), len(l.fleet), len(l.owed), c.fleetMost()
+		own.Role, own.Workers = "leader", l.relay("").workers
+	} else if c.hint == "" || !c.links[c.hint] {
+		own.Role = "away"
+	}
+	v.Nodes = append(v.Nodes, own)
+	for _, s := range c.cfg.Seeds {
+		n := ClusterNode{Name: s.HostName, Zone: s.Site, Link: c.links[s.HostName]}
+		if s.HostName == c.hint {
+			n.Role = "leader"
+		}
+		if l != nil {
+			n.Role = "away"
+			if p := l.relays[s.HostName]; p != nil {
+				n.Workers = p.workers
+				if !p.heard.IsZero() {
+					n.LagS = c.now.Sub(p.heard).Seconds()
+				}
+				if c.takesWorkers(s.HostName, p) {
+					n.Role = "relay"
+				}
+			}
+		}
+		v.Nodes = append(v.Nodes, n)
+	}
+	return v
+}
+
+// serveCluster answers what operators ask of the controllers, as the leader.
+func (c *Core) serveCluster(call UserCall) {
+	if call.Op == OpCluster {
+		c.answer(call, AnswerUser{Status: 200, Doc: c.cluster()})
+		return
+	}
+	if reason := c.cannotHandOver(); reason != "" {
+		c.answer(call, AnswerUser{Status: 409, Reason: reason})
+		return
+	}
+	c.answer(call, AnswerUser{Status: 200, Doc: c.cluster()})
+	c.handOver("asked for by an operator")
+}
+
+// cannotHandOver says what stands against giving the leadership away, or "".
+func (c *Core) cannotHandOver() string {
+	switch l := c.lead; {
+	case l == nil || !l.loaded:
+		return "this node does not lead"
+	case !l.settled():
+		return "the take-over is not complete"
+	case len(c.nodes()) == 0:
+		return "no other controller is in reach"
+	}
+	return ""
+}
+
+// handOver gives the leadership to whoever of the others takes it first.
+func (c *Core) handOver(why string) {
+	c.passed = c.now
+	c.retire(why)
+}
+
+// passedFor is for how long a node that has handed over does not stand again: the
+// others have long begun by then, unless none of them is able to.
+const passedFor = 3 * time.Second
+
+// Leave has a leader hand over before its process ends on purpose. It reports whether
+// there was something to hand over.
+type Leave struct{}
+
+func (c *Core) leave() {
+	if reason := c.cannotHandOver(); reason != "" {
+		c.note(slog.LevelInfo, "nothing is handed over", "reason", reason)
+		return
+	}
+	c.handOver("the process ends")
+}
+
+// ofCluster reports whether an operation is about the controllers and not about jobs.
+func ofCluster(op UserOp) bool { return op == OpCluster || op == OpHandOver }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,8 @@
 	links     map[string]bool
 	apart     time.Time                       // since when we have no link to the leader that we know
 	final     *lru.Cache[string, FinalRecord] // how recent jobs ended
+	relay     relaying
+	passed    time.Time // when we last handed over
 	reads     *rate.Limiter
 	stateUp   bool
 
@@ -82,7 +84,7 @@
 	c := &Core{
 		cfg: cfg, pol: pol, cal: cal, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){}, probes: map[uint64]func(ProbeReply){},
-		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, stateUp: true,
+		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, relay: newRelaying(), stateUp: true,
 		reads:  rate.NewLimiter(rate.Limit(cfg.Settings.State.RPS/2), max(1, int(cfg.Settings.State.RPS/2))),
 		report: cfg.Settings.Workers.Report.Duration(),
 		lease:  cfg.Settings.Workers.Lease.Duration(),
@@ -104,6 +106,9 @@
 	if first {
 		c.began = now
 		c.watch()
+		if len(c.cfg.Seeds) > 0 {
+			c.relayTick()
+		}
 	}
 	c.alarms()
 	switch in := in.(type) {
@@ -125,9 +130,15 @@
 		c.peerIn(in)
 	case PeerLink:
 		c.peerLink(in)
+	case Leave:
+		c.leave()
 	}
 	if c.lead != nil {
 		c.leadPump()
+		c.repliesOut()
+	}
+	if c.lead == nil {
+		c.relayPump()
 	}
 	return c.out
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 
+	"yewpass/internal/relay"
 	"yewpass/internal/topology"
 )
 
@@ -47,18 +48,22 @@
 	strays      int               // tasks of theirs on machines, which may count for any team
 	lost        map[string]uint64 // records of machines that cannot be read, by key; owed as well
 	rent        renting
-	grouped     uint64              // records of machines begun in this term
-	groups      []*group            // the records of the machines
-	holding     map[uint64]*machine // by the number of the held report
-	poked       []*machine          // see poke
-	unplaced    []*job              // see bookSoon
-	offers      []slotOffer         // scratch space
-	toProbe     []*machine          // see probeAll
-	probing     int                 // probes on their way
-	learned     uint64              // reports taken in
-	dirty       bool                // machines whose replies are held may have something to start
-	dispatchAt  time.Time           // not before this again
-	dispatching bool                // and then it is seen to
+	grouped     uint64                // records of machines begun in this term
+	groups      []*group              // the records of the machines
+	holding     map[holdKey]*machine  // whose replies are held
+	relays      map[string]*relayPeer // "" for our own socket
+	nodes       []relay.Node          // scratch space
+	own         map[string]*reporter  // workers that reported to us before
+	moveAt      time.Time             // not before this is a worker led to another node
+	poked       []*machine            // see poke
+	unplaced    []*job                // see bookSoon
+	offers      []slotOffer           // scratch space
+	toProbe     []*machine            // see probeAll
+	probing     int                   // probes on their way
+	learned     uint64                // reports taken in
+	dirty       bool                  // machines whose replies are held may have something to start
+	dispatchAt  time.Time             // not before this again
+	dispatching bool                  // and then it is seen to
 	tries       uint64
 	doubting    bool // whether the term is still ours is being looked into
 
@@ -171,6 +176,10 @@
 	if c.lead != nil {
 		return
 	}
+	if wait := c.passed.Add(passedFor).Sub(c.now); wait > 0 && !c.passed.IsZero() {
+		c.after(wait, c.watch)
+		return
+	}
 	retry := func() { c.after(c.jitter(200*time.Millisecond), c.watch) }
 	sent, ahead := c.now, c.ahead(c.now) // authority counts from before the grant was asked for
 	c.store(StoreCall{Op: StoreGrant, TTL: grantTTL}, func(g StoreReply) {
@@ -246,7 +255,7 @@
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now, ahead: ahead,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
 		teams: map[string]*team{}, est: newEstimates(), gone: newForgetful(c.now), machines: map[string]*machine{},
-		owed: map[string]bool{}, unread: map[string]bool{}, lost: map[string]uint64{}, holding: map[uint64]*machine{},
+		owed: map[string]bool{}, unread: map[string]bool{}, lost: map[string]uint64{}, holding: map[holdKey]*machine{}, relays: map[string]*relayPeer{},
 		pipe: pipeline{
 			writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.9), max(st.TxnOps, int(st.WriteRPS*0.8))),
 			reqs:   rate.NewLimiter(rate.Limit(st.RPS*0.6), max(1, int(st.RPS*0.5))),
@@ -266,6 +275,12 @@
 	if len(c.cfg.Seeds) == 0 {
 		c.lead.ackedAt = c.now
 	}
+	// What waited here for a leader waits for us now.
+	for _, ref := range c.relay.refs() {
+		c.lead.waiting = append(c.lead.waiting, ReportIn{Ref: ref, Report: c.relay.waiting[ref].report})
+	}
+	c.lead.own = c.relay.known
+	c.relay = newRelaying()
 	c.renew()
 	c.load("")
 	c.fetchCatalog()
@@ -333,13 +348,15 @@
 	}
 	c.note(slog.LevelWarn, "leadership lost", "term", l.term, "reason", why)
 	c.lead = nil
+	// Workers that wait here need not look for the next leader: we pass on what they
+	// have said. Other relays do the same with theirs.
 	for _, m := range l.fleet {
-		if m.held != nil {
-			c.emit(AnswerReport{Ref: m.held.ref, Status: 421, Upstream: c.hint})
+		if m.held != nil && m.held.by.From == "" {
+			c.passOn(ReportIn{Ref: m.held.ref, Report: m.held.report})
 		}
 	}
 	for _, r := range l.waiting {
-		c.emit(AnswerReport{Ref: r.Ref, Status: 421, Upstream: c.hint})
+		c.passOn(r)
 	}
 	c.answerWaiting(l, unavailable("leadership was lost, try again"))
 	c.after(c.jitter(100*time.Millisecond), c.watch)
@@ -445,6 +462,9 @@
 	for _, r := range waiting {
 		c.reportIn(r)
 	}
+	if c.lead != l {
+		return // one of them has seen a newer epoch, and we were out of authority
+	}
 	c.listMachines("", nil)
 	c.probeAll()
 	c.loadSchedules("")
@@ -533,6 +553,10 @@
 		c.userCall(UserCall{Ref: p.Msg.Ref, From: p.From, Op: p.Msg.Op, ID: p.Msg.ID, Spec: p.Msg.Spec, Schedule: p.Msg.Schedule})
 	case PeerAnswer:
 		c.peerAnswer(p.From, p.Msg)
+	case PeerReports:
+		c.relayReports(p.From, p.Msg)
+	case PeerReplies:
+		c.relayReplies(p.From, p.Msg)
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -53,7 +53,10 @@
 )
 
 // heldReport is a report whose reply waits for something to say.
-type heldReport struct{ ref uint64 }
+type heldReport struct {
+	holdKey
+	report Report // of our own socket: whoever leads next is told of it
+}
 
 // machine is a rented machine.
 type machine struct {
@@ -77,7 +80,10 @@
 	rentedAt        time.Time
 	readyAt         time.Time // expected, while it boots
 	held            *heldReport
-	poked           bool // has orders that need not wait for its next report
+	home            string    // the relay that it reports by, or none: our own socket
+	homed           bool      // and is counted there
+	moved           time.Time // when it was last led to another node
+	poked           bool      // has orders that need not wait for its next report
 
 	tl     *timeline.Timeline
 	runs   []*run
@@ -154,27 +160,28 @@
 func (c *Core) reportIn(in ReportIn) {
 	l := c.lead
 	rep := &in.Report
+	refuse := func() { c.answerReport(in.Relay, AnswerReport{Ref: in.Ref, Status: 503}) }
 	if l != nil && rep.Epoch > l.term && !c.leads() {
 		c.stepDown("a worker has seen a newer epoch")
 		l = nil
 	}
 	switch {
 	case l == nil:
-		c.emit(AnswerReport{Ref: in.Ref, Status: 421, Upstream: c.hint})
+		c.passOn(in)
 		return
 	case rep.Epoch > l.term:
-		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		refuse()
 		c.strayEpoch(rep.Host, rep.Epoch, func() {
 			c.release(c.machine(rep.Host, rep.Flavor, rep.Zone, rep.Reclaimable))
 		})
 		return
 	case !c.leads() && (c.now.After(l.until.Add(c.hold)) || c.now.Before(l.until)):
 		// The hold is over, or our clock has stood still and cannot say.
-		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		refuse()
 		return
 	case l.gone.has(rep.Host):
 		// Released and proven gone: whatever arrives now was sent before.
-		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		refuse()
 		return
 	case !l.loaded:
 		l.waiting = append(l.waiting, in)
@@ -187,26 +194,40 @@
 	if m.probed && rep.Tenure == m.tenure && rep.Counter <= m.counter && c.leads() {
 		// Overtaken by its own answer to our probe: nothing new, but a worker
 		// that waits for its reply.
-		c.emit(AnswerReport{Ref: in.Ref, Status: 200, Epoch: l.term})
+		c.answerReport(in.Relay, AnswerReport{Ref: in.Ref, Status: 200, Epoch: l.term})
 		m.answered = c.now
 		return
 	}
-	if m.reported && (rep.Tenure < m.tenure || rep.Tenure == m.tenure && rep.Counter <= m.counter) || rep.Tenure <= m.dead {
+	// A relay that has begun a new session tells again what waits there. What was
+	// answered in the session before has not reached the worker, and will not.
+	again := in.Relay.From != "" && m.reported && rep.Tenure == m.tenure && rep.Counter == m.counter
+	if !again && m.reported && !rep.Newer(m.tenure, m.counter) || rep.Tenure <= m.dead {
 		// Delayed on the way: its task list is older than what we know.
-		c.emit(AnswerReport{Ref: in.Ref, Status: 503})
+		refuse()
 		return
 	}
 	if m.held != nil {
 		// The worker has given up on it; this is its next report.
-		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
+		c.refuseHeld(m)
+	}
+	first := !m.reported && !l.owed[m.host]
+	if !again {
+		m.probed = false
+		c.learn(m, rep)
 	}
-	m.probed = false
-	c.learn(m, rep)
+	l.reportsTo(m, in.Relay.From)
 	if m.record == unrecorded && c.leads() && m.usable() {
 		c.recordMachine(m)
 	}
-	m.held = &heldReport{in.Ref}
-	l.holding[in.Ref] = m
+	if to := c.leadTo(m, in.Relay.From, first); to != "" {
+		c.answerReport(in.Relay, AnswerReport{Ref: in.Ref, Status: 421, Upstream: to})
+		return
+	}
+	m.held = &heldReport{holdKey: holdKey{in.Relay, in.Ref}}
+	if in.Relay.From == "" {
+		m.held.report = *rep
+	}
+	l.holding[m.held.holdKey] = m
 	c.reply(m, false)
 }
 
@@ -223,11 +244,17 @@
 }
 
 // unhold takes away the report that a machine waits on and returns its number.
-func (c *Core) unhold(m *machine) uint64 {
-	ref := m.held.ref
-	delete(c.lead.holding, ref)
+func (c *Core) unhold(m *machine) holdKey {
+	key := m.held.holdKey
+	delete(c.lead.holding, key)
 	m.held = nil
-	return ref
+	return key
+}
+
+// refuseHeld answers the report that a machine waits on with a no.
+func (c *Core) refuseHeld(m *machine) {
+	key := c.unhold(m)
+	c.answerReport(key.by, AnswerReport{Ref: key.ref, Status: 503})
 }
 
 // poke has a held reply to the machine go out soon if there are orders for it.
@@ -589,7 +616,8 @@
 }
 
 func (c *Core) sendReply(m *machine, os []Order) {
-	c.emit(AnswerReport{Ref: c.unhold(m), Status: 200, Epoch: c.lead.term, Orders: os})
+	key := c.unhold(m)
+	c.answerReport(key.by, AnswerReport{Ref: key.ref, Status: 200, Epoch: c.lead.term, Orders: os})
 	m.answered = c.now
 }
 
@@ -650,15 +678,22 @@
 }
 
 func (c *Core) reportGone(ref uint64) {
-	if c.lead == nil {
-		return
+	if c.lead != nil {
+		c.holdOver(holdKey{ref: ref})
+	} else if p := c.relay.waiting[ref]; p != nil {
+		c.dropPassed(p)
 	}
-	if m := c.lead.holding[ref]; m != nil {
+}
+
+// holdOver: nobody waits for the reply to a report any more.
+func (c *Core) holdOver(key holdKey) {
+	l := c.lead
+	if m := l.holding[key]; m != nil {
 		c.unhold(m)
 	}
 	// Reports that wait for the records to be read would pile up while that fails.
-	if l := c.lead; !l.loaded {
-		l.waiting = slices.DeleteFunc(l.waiting, func(r ReportIn) bool { return r.Ref == ref })
+	if !l.loaded {
+		l.waiting = slices.DeleteFunc(l.waiting, func(r ReportIn) bool { return r.Ref == key.ref && r.Relay == key.by })
 	}
 }
 
@@ -700,6 +735,7 @@
 		m.dead = m.tenure
 	}
 	m.reported, m.lost = false, true
+	c.lead.leaves(m)
 	m.answered = time.Time{}
 	c.accounted(m.host)
 	c.unbookMachine(m)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -606,7 +606,7 @@
 	j.waiting--
 	// Attempts rise across terms as well: the term comes first.
 	l.tries++
-	r := &run{id: TaskID{j.spec.ID, i}, try: l.term<<tryBits + l.tries, m: m, phase: orderedFor, order: m.counter, ordered: c.now}
+	r := &run{id: TaskID{Job: j.spec.ID, Index: i}, try: l.term<<tryBits + l.tries, m: m, phase: orderedFor, order: m.counter, ordered: c.now}
 	m.runs = append(m.runs, r)
 	c.occupy(r, j)
 	return Order{Verb: Start, Task: r.id, Try: r.try}
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -13,14 +13,33 @@
 	probeTries  = 2 // in vain, and the machine counts as out of reach
 )
 
-// probeAll begins to probe the machines that are owed.
+// probeLater is how long the relays are left to tell of their workers, and to probe
+// those that have nothing to tell, before the leader probes the rest.
+const probeLater = 700 * time.Millisecond
+
+// probeAll begins to probe the machines that are owed: at once those that reported to
+// this node before it led.
 func (c *Core) probeAll() {
 	l := c.lead
+	relays := false
+	for _, up := range c.links {
+		relays = relays || up
+	}
 	for _, m := range l.fleet {
-		if l.owed[m.host] && m.address != "" {
+		if l.owed[m.host] && m.address != "" && (!relays || l.own[m.host] != nil) {
 			l.toProbe = append(l.toProbe, m)
 		}
 	}
+	if relays {
+		c.whenLeading(probeLater, func() {
+			for _, m := range l.fleet {
+				if l.owed[m.host] && m.address != "" && l.own[m.host] == nil && !m.reported {
+					l.toProbe = append(l.toProbe, m)
+				}
+			}
+			c.probeMore()
+		})
+	}
 	c.probeMore()
 }
 
@@ -41,8 +60,7 @@
 		return
 	}
 	l.probing++
-	ref := c.nextRef()
-	c.probes[ref] = func(r ProbeReply) {
+	c.probeCall(m.address, l.term, tenure, func(r ProbeReply) {
 		if c.lead != l {
 			return
 		}
@@ -65,6 +83,12 @@
 			}
 		}
 		c.probeMore()
-	}
-	c.emit(ProbeCall{Ref: ref, Address: m.address, Epoch: l.term, Tenure: tenure, Within: probeWithin})
+	})
+}
+
+// probeCall sends a probe and has f called with its answer.
+func (c *Core) probeCall(address string, epoch, tenure uint64, f func(ProbeReply)) {
+	ref := c.nextRef()
+	c.probes[ref] = f
+	c.emit(ProbeCall{Ref: ref, Address: address, Epoch: epoch, Tenure: tenure, Within: probeWithin})
 }
--- /dev/null
+++ b/internal/core/relays.go
@@ -0,0 +1,499 @@
+package core
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"yewpass/internal/relay"
+)
+
+// A controller that does not lead takes workers' reports and passes them on to the
+// one that does, whose replies go back the same way. To everybody else it is part of
+// the way: a reply is the leader's word on one report, and counts or not by the
+// report's tenure and counter and by its term, however it has travelled.
+const (
+	// relayEvery is how often a relay sends at the most: what comes in between goes
+	// in one line.
+	relayEvery = 10 * time.Millisecond
+	// relayBeat is how often a relay looks after what waits, and says that it is there.
+	relayBeat = 400 * time.Millisecond
+	// relayWait is how long a report waits for the leader's reply, or for a leader.
+	// Workers give up after 4 s.
+	relayWait = 3300 * time.Millisecond
+	// relayApart is for how long a relay without a link to its leader keeps its
+	// workers: a change of leader is over sooner.
+	relayApart = 2500 * time.Millisecond
+	// relayQuiet is after which time without a line the leader leads nobody to a relay.
+	relayQuiet = 3 * time.Second
+	// lineMost is about how many tasks or orders go in one line.
+	lineMost = 400
+)
+
+// relaying is what a controller keeps of the workers that report to it while it does
+// not lead.
+type relaying struct {
+	waiting map[uint64]*passed // reports that wait for their replies, by our number
+	byHost  map[string]*passed
+	known   map[string]*reporter
+	pruned  time.Time
+
+	fold     *relay.Fold // the link to the leader; nil without one
+	to       string
+	term     uint64
+	items    []relay.Item // that have not gone out
+	tasks    int          // listed in them
+	gone     []uint64
+	flushed  time.Time
+	flushing bool
+
+	probed  uint64   // the newest term whose leader we have helped to probe
+	toProbe []string // machines
+	probing int
+}
+
+// passed is a report that waits here.
+type passed struct {
+	ref    uint64
+	report Report
+	since  time.Time
+}
+
+// reporter is a worker that reports to us.
+type reporter struct {
+	address       string
+	tenure, epoch uint64
+	seen          time.Time
+}
+
+func newRelaying() relaying {
+	return relaying{waiting: map[uint64]*passed{}, byHost: map[string]*passed{}, known: map[string]*reporter{}}
+}
+
+// passOn takes a worker's report for the leader, whoever that is or will be.
+func (c *Core) passOn(in ReportIn) {
+	r, rep := &c.relay, &in.Report
+	if in.Relay.From != "" {
+		return // meant for a leader: its relay will hear who that is
+	}
+	if p := r.byHost[rep.Host]; p != nil {
+		if !rep.Newer(p.report.Tenure, p.report.Counter) {
+			c.emit(AnswerReport{Ref: in.Ref, Status: 503}) // delayed on the way
+			return
+		}
+		c.dropPassed(p) // the worker has given up on it
+		c.emit(AnswerReport{Ref: p.ref, Status: 503})
+	}
+	if len(c.cfg.Seeds) == 0 || c.outOfReach() {
+		c.emit(AnswerReport{Ref: in.Ref, Status: 421, Upstream: c.hint})
+		return
+	}
+	k := r.known[rep.Host]
+	if k == nil {
+		k = &reporter{}
+		r.known[rep.Host] = k
+	}
+	*k = reporter{rep.Address, rep.Tenure, rep.Epoch, c.now}
+	p := &passed{in.Ref, *rep, c.now}
+	r.waiting[p.ref], r.byHost[rep.Host] = p, p
+	if r.fold != nil {
+		r.add(p.ref, &p.report)
+	}
+}
+
+// outOfReach reports whether the leader has been known and without a link to us for
+// longer than a change of leader takes. Its workers are then better off with it.
+func (c *Core) outOfReach() bool {
+	return c.hint != "" && !c.links[c.hint] && c.now.Sub(c.apart) > relayApart
+}
+
+func (r *relaying) add(ref uint64, rep *Report) {
+	r.items = append(r.items, r.fold.Item(ref, rep))
+	it := &r.items[len(r.items)-1]
+	r.tasks += 4 + len(it.Added) + len(it.Changed) + len(it.Dropped)
+}
+
+// dropPassed takes a report out: nobody waits for its reply any more.
+func (c *Core) dropPassed(p *passed) {
+	r := &c.relay
+	delete(r.waiting, p.ref)
+	if r.byHost[p.report.Host] == p {
+		delete(r.byHost, p.report.Host)
+	}
+	if r.fold != nil {
+		r.gone = append(r.gone, p.ref)
+	}
+}
+
+// refs returns the numbers of the waiting reports in the order in which they came.
+func (r *relaying) refs() []uint64 { return slices.Sorted(maps.Keys(r.waiting)) }
+
+// relayTick looks after what waits here, now and every while.
+func (c *Core) relayTick() {
+	c.after(relayBeat, c.relayTick)
+	if c.lead != nil {
+		return
+	}
+	r := &c.relay
+	away := c.outOfReach()
+	if len(r.waiting) == 0 && len(r.known) == 0 && r.fold == nil {
+		return
+	}
+	for _, ref := range r.refs() {
+		p := r.waiting[ref]
+		if !away && c.now.Sub(p.since) < relayWait {
+			continue
+		}
+		a := AnswerReport{Ref: ref, Status: 421}
+		if c.hint != "" && !c.links[c.hint] {
+			a.Upstream = c.hint
+		}
+		c.dropPassed(p)
+		c.emit(a)
+	}
+	if c.now.Sub(r.pruned) > c.lease {
+		r.pruned = c.now
+		for _, host := range slices.Sorted(maps.Keys(r.known)) {
+			if c.now.Sub(r.known[host].seen) > c.lease {
+				delete(r.known, host)
+				if r.fold != nil {
+					r.fold.Forget(host)
+				}
+			}
+		}
+	}
+	if r.fold != nil && c.now.Sub(r.flushed) > relayBeat {
+		c.relayFlush()
+	}
+}
+
+// relayPump runs after each input while we do not lead.
+func (c *Core) relayPump() {
+	r := &c.relay
+	if c.hint == "" || !c.links[c.hint] {
+		r.fold, r.items, r.gone, r.tasks = nil, nil, nil, 0
+		return
+	}
+	if r.fold == nil || r.to != c.hint || r.term != c.termMax {
+		c.relayOpen()
+	}
+	if c.confirmed == r.term && r.probed != r.term {
+		c.relayProbes()
+	}
+	if len(r.items) == 0 && len(r.gone) == 0 {
+		return
+	}
+	if wait := r.flushed.Add(relayEvery).Sub(c.now); wait > 0 && r.tasks < lineMost {
+		if !r.flushing {
+			r.flushing = true
+			c.after(wait, func() { c.relay.flushing = false }) // and the pump after it
+		}
+		return
+	}
+	c.relayFlush()
+}
+
+// relayOpen begins a session with the leader that we know, and tells it all that
+// waits here.
+func (c *Core) relayOpen() {
+	r := &c.relay
+	r.to, r.term = c.hint, c.termMax
+	r.fold = relay.NewFold(c.rng.Uint64() | 1) // never 0
+	r.items, r.gone, r.tasks = nil, nil, 0
+	for _, ref := range r.refs() {
+		r.add(ref, &r.waiting[ref].report)
+	}
+	c.relayFlush()
+}
+
+// relayFlush sends what there is, or else that we are there.
+func (c *Core) relayFlush() {
+	r := &c.relay
+	for first := true; first || len(r.items) > 0; first = false {
+		n, tasks := 0, 0
+		for n < len(r.items) && (n == 0 || tasks < lineMost) {
+			tasks += 4 + len(r.items[n].Added) + len(r.items[n].Changed) + len(r.items[n].Dropped)
+			n++
+		}
+		var gone []uint64
+		if n == len(r.items) {
+			gone, r.gone = r.gone, nil
+		}
+		c.emit(PeerSend{r.to, PeerMsg{Kind: PeerReports, Term: r.term, Reports: r.fold.Batch(r.items[:n:n], gone)}})
+		r.items = r.items[n:]
+	}
+	r.items, r.tasks, r.flushed = nil, 0, c.now
+}
+
+// relayReplies passes the leader's replies on to workers. Only those of the newest
+// term that we know, and of the session at hand: from when a node has taken note of a
+// term it lets no word of an older one out, and no word meant for an earlier life of
+// it, whose numbers stood for other reports.
+func (c *Core) relayReplies(from string, m PeerMsg) {
+	r := &c.relay
+	if c.lead != nil || r.fold == nil || from != r.to || from != c.hint || m.Term != r.term || m.Term != c.termMax || m.Replies.Session != r.fold.Session() {
+		return
+	}
+	if m.Replies.Again {
+		c.relayOpen()
+		return
+	}
+	for i := range m.Replies.List {
+		x := &m.Replies.List[i]
+		p := r.waiting[x.Ref]
+		if p == nil {
+			continue
+		}
+		delete(r.waiting, x.Ref)
+		if r.byHost[p.report.Host] == p {
+			delete(r.byHost, p.report.Host)
+		}
+		a := AnswerReport{Ref: x.Ref, Status: 200, Epoch: m.Term, Orders: x.Read(), Upstream: x.Upstream}
+		if x.Status != 0 {
+			a.Status = x.Status
+		}
+		if a.Status == 421 { // it goes elsewhere
+			delete(r.known, p.report.Host)
+			r.fold.Forget(p.report.Host)
+		}
+		c.emit(a)
+	}
+}
+
+// relayProbes shows the new leader's epoch to our workers, as the leader itself would
+// (see probeAll), for it has many times as many. Only once the state service has
+// named it: a worker that has seen an epoch that never was is of no use any more.
+func (c *Core) relayProbes() {
+	r := &c.relay
+	r.probed, r.toProbe, r.probing = r.term, nil, 0
+	for _, host := range slices.Sorted(maps.Keys(r.known)) {
+		if k := r.known[host]; k.epoch < r.term && k.address != "" && c.now.Sub(k.seen) < c.lease {
+			r.toProbe = append(r.toProbe, host)
+		}
+	}
+	c.relayProbeMore()
+}
+
+func (c *Core) relayProbeMore() {
+	r := &c.relay
+	for r.probing < probeWidth && len(r.toProbe) > 0 && c.lead == nil {
+		host := r.toProbe[0]
+		r.toProbe = r.toProbe[1:]
+		if k := r.known[host]; k != nil && k.epoch < r.probed && r.byHost[host] == nil {
+			c.relayProbe(host, k, k.tenure)
+		}
+	}
+}
+
+func (c *Core) relayProbe(host string, k *reporter, tenure uint64) {
+	r := &c.relay
+	term := r.probed
+	r.probing++
+	c.probeCall(k.address, term, tenure, func(p ProbeReply) {
+		if r.probed != term {
+			return
+		}
+		r.probing--
+		rep := &p.Report
+		switch {
+		case c.lead != nil || p.Outcome == Unknown || rep.Host != host:
+		case p.Outcome == Conflict && rep.Tenure != tenure && rep.Tenure != k.tenure:
+			k.tenure = rep.Tenure
+			c.relayProbe(host, k, rep.Tenure)
+		case p.Outcome == OK && rep.Epoch == term && r.fold != nil && r.term == term:
+			k.epoch = term
+			r.add(0, rep)
+		}
+		c.relayProbeMore()
+	})
+}
+
+// ---- the leader's end
+
+// relayPeer is a relay as the leader sees it.
+type relayPeer struct {
+	unfold  relay.Unfold
+	heard   time.Time
+	workers int // that report to it
+	replies []relay.Reply
+	orders  int // in them
+}
+
+// holdKey names a report whose reply is held: numbers are the relay's own.
+type holdKey struct {
+	by  relay.Link
+	ref uint64
+}
+
+// relayReports takes in what a relay passes on.
+func (c *Core) relayReports(from string, m PeerMsg) {
+	l := c.lead
+	if l == nil || m.Term != l.term {
+		return // it will hear of the newest term, and tell its leader again
+	}
+	p := l.relay(from)
+	reps, begun, err := p.unfold.Open(m.Reports)
+	if begun {
+		// What it has been asked before it asks again: the numbers of the session
+		// before mean nothing any more.
+		for _, x := range l.fleet {
+			if x.held != nil && x.held.by.From == from {
+				c.unhold(x)
+			}
+		}
+		l.waiting = slices.DeleteFunc(l.waiting, func(r ReportIn) bool { return r.Relay.From == from })
+		p.replies, p.orders = nil, 0
+	}
+	if err != nil {
+		if err != relay.ErrBroken {
+			c.note(slog.LevelWarn, "relay's reports cannot be read", "relay", from, "reason", err)
+		}
+		c.emit(PeerSend{from, PeerMsg{Kind: PeerReplies, Term: l.term, Replies: &relay.Replies{Session: m.Reports.Session, Again: true}}})
+		return
+	}
+	p.heard = c.now
+	by := relay.Link{From: from, Session: m.Reports.Session}
+	for i := range reps {
+		if ref := m.Reports.Reports[i].Ref; ref != 0 {
+			c.reportIn(ReportIn{Ref: ref, Relay: by, Report: reps[i]})
+		} else if x := l.machines[reps[i].Host]; x != nil && l.owed[x.host] && !x.reported && !x.releasing && l.loaded && reps[i].Epoch == l.term {
+			// Its answer to a probe: see probe for when that counts.
+			x.probed = true
+			c.learn(x, &reps[i])
+		}
+		if c.lead != l {
+			return
+		}
+	}
+	for _, ref := range m.Reports.Gone {
+		c.holdOver(holdKey{by, ref})
+	}
+}
+
+func (l *leadership) relay(name string) *relayPeer {
+	p := l.relays[name]
+	if p == nil {
+		p = &relayPeer{}
+		l.relays[name] = p
+	}
+	return p
+}
+
+// answerReport answers a report the way it came.
+func (c *Core) answerReport(by relay.Link, a AnswerReport) {
+	if by.From == "" {
+		c.emit(a)
+		return
+	}
+	if c.lead == nil {
+		return
+	}
+	p := c.lead.relay(by.From)
+	if by.Session != p.unfold.Session() {
+		return // nobody waits for it there
+	}
+	x := relay.Reply{Ref: a.Ref, Upstream: a.Upstream, Orders: relay.Orders(a.Orders)}
+	if a.Status != 200 {
+		x.Status = a.Status
+	}
+	p.replies = append(p.replies, x)
+	p.orders += 4 + len(a.Orders)
+	if p.orders > lineMost {
+		c.sendReplies(by.From, p)
+	}
+}
+
+func (c *Core) sendReplies(name string, p *relayPeer) {
+	if len(p.replies) == 0 {
+		return
+	}
+	c.emit(PeerSend{name, PeerMsg{Kind: PeerReplies, Term: c.lead.term, Replies: &relay.Replies{Session: p.unfold.Session(), List: p.replies}}})
+	p.replies, p.orders = nil, 0
+}
+
+// repliesOut sends what was answered in this step to the relays.
+func (c *Core) repliesOut() {
+	if l := c.lead; l != nil && len(l.relays) > 0 {
+		for _, s := range c.cfg.Seeds {
+			if p := l.relays[s.HostName]; p != nil {
+				c.sendReplies(s.HostName, p)
+			}
+		}
+	}
+}
+
+// reportsTo notes by which node a machine reports.
+func (l *leadership) reportsTo(m *machine, by string) {
+	if m.homed && m.home == by {
+		return
+	}
+	l.leaves(m)
+	m.homed, m.home = true, by
+	l.relay(by).workers++
+}
+
+func (l *leadership) leaves(m *machine) {
+	if m.homed {
+		m.homed = false
+		l.relay(m.home).workers--
+	}
+}
+
+// nodes returns the controllers that can take workers for us now.
+func (c *Core) nodes() []relay.Node {
+	l := c.lead
+	l.nodes = l.nodes[:0]
+	for _, s := range c.cfg.Seeds {
+		p := l.relays[s.HostName]
+		if c.takesWorkers(s.HostName, p) {
+			l.nodes = append(l.nodes, relay.Node{Name: s.HostName, Zone: s.Site, Workers: p.workers, Most: c.workersMost()})
+		}
+	}
+	return l.nodes
+}
+
+// takesWorkers reports whether workers can report to us by a relay now.
+func (c *Core) takesWorkers(name string, p *relayPeer) bool {
+	return p != nil && c.links[name] && p.unfold.Session() != 0 && c.now.Sub(p.heard) < relayQuiet
+}
+
+// workersMost is how many workers a node takes: their part of the connections that it
+// lets in. The rest is for users.
+func (c *Core) workersMost() int {
+	if n := c.cfg.Settings.Limits.MaxConnections; n > 0 {
+		return max(4, relay.Clients(n)*5/6)
+	}
+	return 1 << 30
+}
+
+// fleetMost is how many machines the controllers can serve together. The leader takes
+// no workers itself while there are others, and one of those may be away.
+func (c *Core) fleetMost() int {
+	return c.workersMost() * max(1, len(c.cfg.Seeds)-1)
+}
+
+// leadTo says to which node a machine that has just reported by another should report,
+// or "" while it stays. Workers are led away one at a time, so that no storm comes of
+// it; only one that nobody has heard of before goes at once, for it has nothing to
+// lose. A machine that comes back had a reason: the other node is out of its reach.
+func (c *Core) leadTo(m *machine, by string, first bool) string {
+	l := c.lead
+	if len(c.cfg.Seeds) == 0 || !c.leads() || !l.settled() || m.releasing || !m.moved.IsZero() && c.now.Sub(m.moved) < 3*c.lease {
+		return ""
+	}
+	first = first && by == ""
+	if !first && (c.now.Before(l.moveAt) || m.epoch != l.term) {
+		return ""
+	}
+	nodes := c.nodes()
+	to := relay.Spread(nodes, m.zone)
+	if to == "" || to == by || by != "" && !relay.Uneven(nodes, by, to, m.zone) {
+		return ""
+	}
+	if !first {
+		l.moveAt = c.now.Add(time.Second / time.Duration(4+len(l.fleet)/50))
+	}
+	m.moved = c.now
+	return to
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -35,6 +35,7 @@
 	patience map[string]float64 // by type, how much longer than usual boots take at present
 	releases []string
 	freeing  bool
+	full     bool // the controllers cannot serve more machines
 	blind    bool // the cloud's catalog could not be read last time
 }
 
@@ -62,6 +63,14 @@
 	return nil
 }
 
+// asked is how many machines may come of the requests under way.
+func (r *renting) asked() (n int) {
+	for _, w := range r.wanted {
+		n += w.n
+	}
+	return n
+}
+
 // mayOffer reports whether some zone may have capacity for the type.
 func (r *renting) mayOffer(f *Flavor, reclaimable bool, now time.Time) bool {
 	for _, z := range f.Zones {
@@ -201,8 +210,9 @@
 		c.dropRun(r)
 	}
 	if m.held != nil {
-		c.emit(AnswerReport{Ref: c.unhold(m), Status: 503})
+		c.refuseHeld(m)
 	}
+	l.leaves(m)
 	delete(l.machines, host)
 	l.places.Forget(host)
 	if i := l.place(host); i < len(l.fleet) && l.fleet[i] == m {
@@ -600,6 +610,19 @@
 // be sent.
 func (c *Core) rentFor(s *JobSpec, cpus float64, pressing bool) bool {
 	l := c.lead
+	room := c.fleetMost() - len(l.fleet) - l.rent.asked()
+	if l.rent.full != (room <= 0) {
+		// More machines than the controllers have connections for would serve nobody:
+		// they would crowd out each other, and users.
+		if l.rent.full = room <= 0; l.rent.full {
+			c.note(slog.LevelWarn, "no more machines are rented", "machines", len(l.fleet), "most", c.fleetMost(), "reason", "the controllers cannot serve more")
+		} else {
+			c.note(slog.LevelInfo, "machines are rented again", "machines", len(l.fleet), "most", c.fleetMost())
+		}
+	}
+	if room <= 0 {
+		return false
+	}
 	type choice struct {
 		offer
 		f    *Flavor
@@ -651,7 +674,7 @@
 		return cmp.Compare(a.cost, b.cost)
 	})
 	ch := cs[0]
-	n := min(int(math.Ceil(cpus/ch.f.CPUs)), 50)
+	n := min(int(math.Ceil(cpus/ch.f.CPUs)), 50, room)
 	l.rent.count++
 	name := fmt.Sprintf("t%d-%d", l.term, l.rent.count)
 	l.rent.wanted[name] = &rental{offer: ch.offer, n: n, cpus: float64(n) * ch.f.CPUs, at: c.now}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -9,6 +9,8 @@
 	CPUs, CPUsUsed         float64 // of the reporting ones
 	Unaccounted            int     // machines that may hold an earlier term's tasks
 	BacklogSeconds         float64
+	Direct, Relays, Passed int  // machines that report to the leader itself; nodes that take others for it; workers that report here to be passed on
+	Full                   bool // no more machines are rented: the controllers could not serve them
 
 	Schedules                                           int   // read by this leader
 	OccurrencesMade, OccurrencesMissed, OccurrencesLate int64 // by this leader
@@ -16,13 +18,14 @@
 
 // Stats returns the figures of now.
 func (c *Core) Stats() Stats {
-	s := Stats{Term: c.termMax}
+	s := Stats{Term: c.termMax, Passed: len(c.relay.known)}
 	l := c.lead
 	if l == nil {
 		return s
 	}
 	s.Leads, s.Authority = true, c.leads()
 	s.Jobs, s.Machines, s.Unaccounted, s.BacklogSeconds = len(l.jobs), len(l.fleet), len(l.owed), l.rent.backlog.Seconds()
+	s.Direct, s.Relays, s.Full = l.relay("").workers, len(c.nodes()), l.rent.full
 	s.Schedules = len(l.sched.names)
 	s.OccurrencesMade, s.OccurrencesMissed, s.OccurrencesLate = l.sched.made, l.sched.missed, l.sched.late
 	for _, j := range l.jobs {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -5,10 +5,10 @@
 
 import (
 	"log/slog"
-	"strconv"
-	"strings"
 	"time"
 
+	"yewpass/internal/relay"
+	"yewpass/internal/report"
 	"yewpass/internal/schedule"
 	"yewpass/internal/spec"
 	"yewpass/internal/timeline"
@@ -62,31 +62,23 @@
 	triesSpare = 1 << 20
 )
 
-// TaskID names a task: job and number.
-type TaskID struct {
-	Job   string
-	Index int
-}
-
-func (t TaskID) String() string { return t.Job + "/" + strconv.Itoa(t.Index) }
-
-// ParseTaskID reads a task's name.
-func ParseTaskID(s string) (TaskID, bool) {
-	job, num, ok := strings.Cut(s, "/")
-	n, err := strconv.Atoi(num)
-	return TaskID{job, n}, ok && err == nil && n >= 0 && n < MaxTasks && job != ""
-}
-
-// Phase is the state of a task on a machine.
-type Phase string
+// What workers say and are told has a package of its own: relays speak of it too.
+type (
+	TaskID     = report.TaskID
+	Phase      = report.Phase
+	TaskReport = report.Task
+	Report     = report.Report
+	Verb       = report.Verb
+	Order      = report.Order
+)
 
 // The phases that workers report.
 const (
-	Pulling    Phase = "pulling"
-	TaskRuns   Phase = "running"
-	Saving     Phase = "saving"
-	Exited     Phase = "exited"
-	orderedFor Phase = "ordered" // a start is in a reply that is not yet answered for
+	Pulling    = report.Pulling
+	TaskRuns   = report.TaskRuns
+	Saving     = report.Saving
+	Exited     = report.Exited
+	orderedFor = Phase("ordered") // a start is in a reply that is not yet answered for
 )
 
 // Causes of an exit.
@@ -99,41 +91,15 @@
 	CauseNoSuch  = "no_such"
 )
 
-// TaskReport is one task in a report.
-type TaskReport struct {
-	Task  TaskID
-	Try   uint64
-	Phase Phase
-	Cause string
-}
-
-// Report is a worker's report.
-type Report struct {
-	Host, Address, Flavor, Zone string
-	Reclaimable                 bool
-	Tenure, Counter, Epoch      uint64
-	Notice                      time.Duration
-	HasNotice                   bool
-	Tasks                       []TaskReport
-}
-
-// Verb is what an order asks of a worker.
-type Verb string
-
 // The verbs of the worker protocol.
 const (
-	Start Verb = "start"
-	Stop  Verb = "stop"
-	Reap  Verb = "reap"
+	Start = report.Start
+	Stop  = report.Stop
+	Reap  = report.Reap
 )
 
-// Order is one command to a worker.
-type Order struct {
-	Verb  Verb
-	Task  TaskID
-	Try   uint64
-	Drain time.Duration // of a stop
-}
+// ParseTaskID reads a task's name.
+func ParseTaskID(s string) (TaskID, bool) { return report.ParseTaskID(s) }
 
 // Flavor is a machine type of the catalog.
 type Flavor struct {
@@ -166,6 +132,9 @@
 	OpGet    UserOp = "get"
 	OpCancel UserOp = "cancel"
 
+	OpCluster  UserOp = "cluster"
+	OpHandOver UserOp = "hand over"
+
 	OpSchedulePut      UserOp = "schedule put"
 	OpScheduleGet      UserOp = "schedule get"
 	OpScheduleList     UserOp = "schedule list"
@@ -199,9 +168,11 @@
 	Schedule *ScheduleCall
 }
 
-// ReportIn is a worker's report waiting for its reply.
+// ReportIn is a worker's report waiting for its reply, from this node's own socket or
+// handed on by a relay.
 type ReportIn struct {
 	Ref    uint64
+	Relay  relay.Link // which it came by; zero: our own socket
 	Report Report
 }
 
@@ -271,6 +242,9 @@
 	PeerAck    PeerKind = "ack"    // the sender has taken note of the term
 	PeerCall   PeerKind = "call"   // a user's request, forwarded
 	PeerAnswer PeerKind = "answer" // its answer
+
+	PeerReports PeerKind = "reports" // of workers, from a relay to the leader
+	PeerReplies PeerKind = "replies" // to them
 )
 
 // PeerMsg is what controllers say to each other.
@@ -284,6 +258,8 @@
 	Answer *AnswerUser
 
 	Schedule *ScheduleCall
+	Reports  *relay.Batch
+	Replies  *relay.Replies
 }
 
 // Sound reports whether a call of a peer carries what its operation asks for, as the
@@ -295,6 +271,9 @@
 	case OpGet, OpCancel:
 		return m.Schedule == nil && m.Spec == nil && spec.ValidID(m.ID)
 	}
+	if ofCluster(m.Op) {
+		return m.Schedule == nil && m.Spec == nil && m.ID == ""
+	}
 	q := m.Schedule
 	if q == nil || m.Spec != nil || q.Count < 0 || q.Count > MaxCount {
 		return false
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -51,6 +51,14 @@
 		c.answer(call, unavailable("not the leader"))
 		return
 	}
+	if ofCluster(call.Op) {
+		if c.lead == nil && c.hint != "" && c.links[c.hint] {
+			c.forward(call)
+		} else {
+			c.withoutLeader(call)
+		}
+		return
+	}
 	if f, ok := c.final.Get(call.ID); ok {
 		c.answer(call, AnswerUser{Status: 200, View: f.view(call.ID)}) // final states never change
 		return
@@ -109,6 +117,10 @@
 
 // withoutLeader serves what the state service alone can answer.
 func (c *Core) withoutLeader(call UserCall) {
+	if call.Op == OpCluster {
+		c.answer(call, AnswerUser{Status: 200, Doc: c.cluster()})
+		return
+	}
 	if call.Op != OpGet {
 		c.answer(call, unavailable("no leader at present"))
 		return
@@ -177,6 +189,10 @@
 		c.serveSchedule(call)
 		return
 	}
+	if ofCluster(call.Op) {
+		c.serveCluster(call)
+		return
+	}
 	if l.unread[call.ID] {
 		// Its tasks were stopped, and some may run yet: whatever becomes of the
 		// record is for the next leader to take up.
@@ -365,8 +381,8 @@
 // refuses judges a dated job against the timelines of the machines at hand and
 // of the types that can be rented, and asks the policy.
 func (c *Core) refuses(s *JobSpec) (time.Duration, bool) {
-	if !s.Dated {
-		return 0, false
+	if !s.Dated || c.pol.NeverRefuses() {
+		return 0, false // what the timelines say is a search over the whole fleet
 	}
 	late := c.lateness(s)
 	e := c.policyEnv()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -20,6 +22,7 @@
 	"yewpass/internal/core"
 	"yewpass/internal/operators"
 	"yewpass/internal/peer"
+	"yewpass/internal/relay"
 	"yewpass/internal/state"
 )
 
@@ -47,6 +50,8 @@
 		return err
 	}
 	inbox := make(chan any, 1024)
+	leaving := make(chan os.Signal, 1)
+	signal.Notify(leaving, syscall.SIGTERM, syscall.SIGINT)
 	n := &node{
 		core:    core.New(cfg, ops.Policy, ops.Calendars, binary.LittleEndian.Uint64(seed[:])),
 		state:   state.New(cfg.External.State, inbox),
@@ -60,12 +65,10 @@
 	}
 	failed := make(chan error, 1)
 	go func() {
-		// What is left after peers, state, cloud, probes and some spare.
-		conns := max(16, sockets(cfg)*9/10-64)
-		failed <- api.Serve(clients, conns, inbox, n.isReady)
+		failed <- api.Serve(clients, relay.Clients(sockets(cfg)), inbox, n.isReady)
 	}()
 	slog.Info("node started", "node", cfg.HostName, "zone", cfg.Site)
-	return n.loop(inbox, failed)
+	return n.loop(inbox, failed, leaving)
 }
 
 type node struct {
@@ -85,8 +88,9 @@
 	later   later
 }
 
-func (n *node) loop(inbox <-chan any, failed <-chan error) error {
+func (n *node) loop(inbox <-chan any, failed <-chan error, leaving <-chan os.Signal) error {
 	timer := time.NewTimer(0)
+	var left <-chan time.Time
 	for {
 		in := n.later.due(len(inbox) == 0)
 		if in == nil {
@@ -96,6 +100,16 @@
 				in = core.Tick{}
 			case err := <-failed:
 				return err
+			case s := <-leaving:
+				// What is on its way has leaveWithin to go out; a second signal does
+				// not wait for that.
+				if left != nil {
+					return nil
+				}
+				slog.Info("node ends", "signal", s.String())
+				left, in = time.After(leaveWithin), core.Leave{}
+			case <-left:
+				return nil
 			}
 			if userCall(in) {
 				if !n.later.add(in) {
@@ -127,6 +141,10 @@
 	}
 }
 
+// leaveWithin is how long a node that was told to end goes on, to give its leadership
+// back and to answer who waits.
+const leaveWithin = 400 * time.Millisecond
+
 // stuckAfter is how long the core may stand still and the node still counts as
 // ready. It takes an input every second at the least.
 const stuckAfter = 4 * time.Second
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 
 	"yewpass/internal/config"
 	"yewpass/internal/core"
+	"yewpass/internal/relay"
 	"yewpass/internal/state"
 )
 
@@ -27,6 +28,8 @@
 	Answer *answerJSON       `json:"answer,omitempty"`
 
 	Schedule *core.ScheduleCall `json:"schedule,omitempty"`
+	Reports  *relay.Batch       `json:"reports,omitempty"`
+	Replies  *relay.Replies     `json:"replies,omitempty"`
 }
 
 type answerJSON struct {
@@ -46,7 +49,7 @@
 const (
 	kindPing = "ping" // keeps an idle link known to be alive
 
-	maxLine   = 128 << 10
+	maxLine   = 512 << 10 // a line of reports, with names as long as may be
 	pingEvery = 500 * time.Millisecond
 	deadAfter = 2500 * time.Millisecond
 )
@@ -78,7 +81,7 @@
 	if ch == nil {
 		return
 	}
-	j := messageJSON{From: m.self, Kind: p.Msg.Kind, Term: p.Msg.Term, Ref: p.Msg.Ref, Op: p.Msg.Op, ID: p.Msg.ID, Schedule: p.Msg.Schedule}
+	j := messageJSON{From: m.self, Kind: p.Msg.Kind, Term: p.Msg.Term, Ref: p.Msg.Ref, Op: p.Msg.Op, ID: p.Msg.ID, Schedule: p.Msg.Schedule, Reports: p.Msg.Reports, Replies: p.Msg.Replies}
 	if p.Msg.Spec != nil {
 		s := state.EncodeSpec(p.Msg.Spec)
 		j.Spec = &s
@@ -217,7 +220,7 @@
 	if !known[j.From] {
 		return in, false, "from: not one of the seeds"
 	}
-	in = core.PeerIn{From: j.From, Msg: core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID, Schedule: j.Schedule}}
+	in = core.PeerIn{From: j.From, Msg: core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID, Schedule: j.Schedule, Reports: j.Reports, Replies: j.Replies}}
 	switch j.Kind {
 	case kindPing:
 		return in, true, ""
@@ -246,6 +249,14 @@
 		if len(a.Doc) > 0 {
 			in.Msg.Answer.Doc = a.Doc
 		}
+	case core.PeerReports:
+		if j.Reports == nil || j.Term == 0 || j.Term > core.MaxTerm {
+			return in, false, "reports: none of a term"
+		}
+	case core.PeerReplies:
+		if j.Replies == nil || j.Term == 0 || j.Term > core.MaxTerm || !j.Replies.Sound() {
+			return in, false, "replies: not what a leader says"
+		}
 	default:
 		return in, false, "kind: no such kind"
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -32,6 +32,7 @@
 
 // Policy is a checked set of expressions. It is not for concurrent use.
 type Policy struct {
+	never                                                                    bool // refuse is plainly false
 	refuse                                                                   *vm.Program
 	margin, warm, rent, ordinary, idle, silent, takeover, holdIdle, holdBusy *vm.Program
 }
@@ -58,7 +59,7 @@
 		}
 		text[k] = over[k]
 	}
-	p := &Policy{}
+	p := &Policy{never: strings.TrimSpace(text["refuse"]) == "false"}
 	progs := map[string]**vm.Program{
 		"refuse": &p.refuse, "margin": &p.margin, "warm": &p.warm, "rent_backlog_s": &p.rent, "ordinary_backlog_s": &p.ordinary, "idle_return_s": &p.idle,
 		"silent_release_s": &p.silent, "takeover_release_s": &p.takeover, "hold_idle_s": &p.holdIdle, "hold_busy_s": &p.holdBusy,
@@ -106,6 +107,10 @@
 	return min(max(f, 0), most)
 }
 
+// NeverRefuses reports whether Refuse says no to everything, so that nobody need find
+// out what it is to judge by.
+func (p *Policy) NeverRefuses() bool { return p.never }
+
 // Refuse says whether to refuse a submission for now.
 func (p *Policy) Refuse(e Env) bool {
 	v, err := expr.Run(p.refuse, e)
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -307,6 +307,10 @@
 		return compare(n, e[1])
 	case "started":
 		return compare(s.started, e[1])
+	case "moved":
+		return compare(s.moves, e[1])
+	case "killed": // with their leases
+		return compare(s.killed, e[1])
 	case "requests": // to the state service
 		return compare(s.store.requests, e[1])
 	case "made", "missed", "late", "whole", "history":
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -24,6 +24,7 @@
 	tasks                  []*task
 	images                 map[string]time.Time // when each image is there
 	node                   int
+	served                 bool      // by that node
 	flight                 int       // number of the report in flight, 0: none
 	flights                int       // reports so far
 	sent, answered         time.Time // last report; send time of the last answered one
@@ -73,6 +74,11 @@
 func (m *worker) session() {
 	m.tenure++
 	m.answered = m.now
+	for _, x := range m.tasks {
+		if x.phase != core.Exited {
+			m.killed++
+		}
+	}
 	m.tasks = nil
 	m.dirty = true
 	m.watchLease()
@@ -194,10 +200,19 @@
 		return
 	}
 	m.flight = 0
-	m.node++
+	m.leave(m.node + 1)
 	m.planReport(time.Second)
 }
 
+// leave has the worker report to another node from now on.
+func (m *worker) leave(node int) {
+	if m.served {
+		m.moves++
+		m.served = false
+	}
+	m.node = node
+}
+
 func (m *worker) reply(id int, tenure uint64, sent time.Time, a core.AnswerReport) {
 	if m.flight != id {
 		return // given up
@@ -207,7 +222,7 @@
 		for i, n := range m.nodes {
 			if n.name == a.Upstream && i != m.node%len(m.nodes) {
 				m.flight = 0
-				m.node = i
+				m.leave(i)
 				m.planReport(time.Duration(m.rng.Int64N(int64(500 * time.Millisecond))))
 				return
 			}
@@ -223,6 +238,7 @@
 		m.planReport(m.spread(m.reportEvery, 0.25))
 		return
 	}
+	m.served = true
 	if sent.After(m.answered) {
 		m.answered = sent
 		m.watchLease()
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -35,6 +35,8 @@
 	violations         []string
 	broken             map[string]bool
 	started, refusals  int
+	moves              int // workers that went from a node that had served them to another
+	killed             int // tasks that ended with their lease
 	polls              int
 	tries              map[core.TaskID]uint64   // the latest attempt that a worker was told to start
 	lie                func(n *node, o any) any // what a planted error makes of an output
@@ -42,6 +44,8 @@
 	given              time.Time                // when the answer at hand was given
 	answered, failures []time.Time
 	trace              func(string)
+	measure            func(n *node, in any) []any // has the core take an input, in place of input
+	blind              bool                        // rules are not looked at: only the cost counts
 }
 
 func (w *world) fail(rule, format string, args ...any) {
@@ -54,6 +58,9 @@
 
 // checkStart holds the rules that speak of the moment a task starts.
 func (w *world) checkStart(m *worker, t *task) {
+	if w.blind {
+		return
+	}
 	s := &t.job.spec
 	if len(s.Flavors) > 0 && !slices.Contains(s.Flavors, m.flavor.name) || s.Zone != "" && s.Zone != m.zone || m.reclaimable && !s.Reclaimable {
 		w.fail("wrong_place", "%s starts on %s (%s in %s)", t.id, m.host, m.flavor.name, m.zone)
@@ -277,7 +284,12 @@
 }
 
 func (n *node) input(in any) {
-	outs := slices.Clone(n.core.Step(n.local(), in))
+	var outs []any
+	if n.measure != nil {
+		outs = n.measure(n, in)
+	} else {
+		outs = slices.Clone(n.core.Step(n.local(), in))
+	}
 	for _, o := range outs {
 		n.do(o)
 	}
