A take-over of thousands of machines goes in steps, and the grant's renewal first

Change: bookings go on until 16,384 machines have been asked, reports that waited for the records a hundred at a time, the rest in the steps after. What the state service says is taken before anything else in a node. Jobs of earlier terms are booked once most machines have said what they run. On fleets above 1,400 machines fewer jobs are looked at again at a time. Borrowers are looked for only when there is a shortage, and warm room is shared out without sorting the fleet. Tasks and orders on a link between controllers are one string. Relays of many workers send a little less often.

--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"slices"
 	"time"
-
-	"yewpass/internal/timeline"
 )
 
 // owesAfter is how long work within a guarantee waits before borrowers have to
@@ -21,18 +19,6 @@
 	if !l.settled() {
 		return
 	}
-	room := timeline.Resources{}
-	stopping := timeline.Resources{}
-	for _, m := range l.fleet {
-		if m.usable() && m.reported {
-			room = room.Add(m.room(), 1)
-		}
-		for _, r := range m.runs {
-			if r.stop && r.holds {
-				stopping = stopping.Add(r.need, 1)
-			}
-		}
-	}
 	short := int64(0)
 	seen := map[*team]int64{}
 	for _, j := range l.queue {
@@ -48,7 +34,21 @@
 		seen[t] = left - n
 		short += n
 	}
-	short -= room.CPU + stopping.CPU
+	for _, m := range l.fleet {
+		if m.usable() && m.reported {
+			short -= m.room().CPU
+		}
+	}
+	if short <= 0 {
+		return
+	}
+	for _, m := range l.fleet { // what is being stopped already
+		for _, r := range m.runs {
+			if r.stop && r.holds {
+				short -= r.need.CPU
+			}
+		}
+	}
 	if short <= 0 {
 		return
 	}
@@ -57,6 +57,7 @@
 		loss time.Duration
 	}
 	var bs []borrower
+	lasts := map[*job]time.Duration{} // as estimated: a job's tasks are many
 	for _, m := range l.fleet {
 		if !m.usable() || !m.reported {
 			continue
@@ -70,8 +71,15 @@
 			loss := r.job.spec.Snapshot
 			if r.job.spec.SnapshotEvery <= 0 {
 				loss = c.now.Sub(r.began)
-				if !r.job.spec.Service && c.left(r) < 6*loss+time.Minute {
-					continue
+				if !r.job.spec.Service {
+					d, ok := lasts[r.job]
+					if !ok {
+						d = c.estimate(r.job)
+						lasts[r.job] = d
+					}
+					if d-loss < 6*loss+time.Minute {
+						continue
+					}
 				}
 			}
 			bs = append(bs, borrower{r, loss})
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -57,6 +57,8 @@
 	moveAt      time.Time             // not before this is a worker led to another node
 	poked       []*machine            // see poke
 	unplaced    []*job                // see bookSoon
+	placing     bool                  // there are more of them than go in one step
+	taking      bool                  // and of the waiting reports
 	offers      []slotOffer           // scratch space
 	toProbe     []*machine            // see probeAll
 	probing     int                   // probes on their way
@@ -457,12 +459,7 @@
 		c.jobLoaded(j)
 	}
 	c.note(slog.LevelInfo, "records read", "term", l.term, "jobs", len(l.jobs), "machines", len(l.owed))
-	waiting := l.waiting
-	l.waiting = nil
-	for _, r := range waiting {
-		c.reportIn(r)
-	}
-	if c.lead != l {
+	if c.takeWaiting(); c.lead != l {
 		return // one of them has seen a newer epoch, and we were out of authority
 	}
 	c.listMachines("", nil)
@@ -471,6 +468,32 @@
 	c.tickLead()
 }
 
+// takenMost is how many reports are taken in a row that have waited for the records.
+const takenMost = 100
+
+// takeWaiting takes in reports that have waited for the records, or the first of them.
+func (c *Core) takeWaiting() {
+	l := c.lead
+	n := min(len(l.waiting), takenMost)
+	some := slices.Clone(l.waiting[:n])
+	l.waiting = slices.Delete(l.waiting, 0, n)
+	for i, r := range some {
+		if c.reportIn(r); c.lead != l {
+			for _, r := range some[i+1:] {
+				c.reportIn(r)
+			}
+			return
+		}
+	}
+	if len(l.waiting) > 0 && !l.taking {
+		l.taking = true
+		c.whenLeading(0, func() {
+			l.taking = false
+			c.takeWaiting()
+		})
+	}
+}
+
 // tickEvery is how often the leader does its regular work.
 const tickEvery = 500 * time.Millisecond
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -692,7 +692,7 @@
 		c.unhold(m)
 	}
 	// Reports that wait for the records to be read would pile up while that fails.
-	if !l.loaded {
+	if len(l.waiting) > 0 {
 		l.waiting = slices.DeleteFunc(l.waiting, func(r ReportIn) bool { return r.Ref == key.ref && r.Relay == key.by })
 	}
 }
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"container/heap"
 	"slices"
 	"sort"
@@ -184,13 +183,23 @@
 	if c.now.Sub(l.rent.burstAt) > loadMemory {
 		left = 0
 	}
-	fleet := slices.Clone(l.fleet)
-	slices.SortStableFunc(fleet, func(a, b *machine) int { return cmp.Compare(b.tl.Capacity().CPU, a.tl.Capacity().CPU) })
-	for _, m := range fleet {
+	var sizes []int64
+	for _, m := range l.fleet {
 		m.warm = 0
-		if left > 0 && m.usable() && m.reported {
-			m.warm = min(left, m.tl.Capacity().CPU/4)
-			left -= m.warm
+		if n := m.tl.Capacity().CPU; !slices.Contains(sizes, n) {
+			sizes = append(sizes, n) // as many as there are types
+		}
+	}
+	slices.Sort(sizes)
+	for _, n := range slices.Backward(sizes) {
+		for _, m := range l.fleet {
+			if left <= 0 {
+				return
+			}
+			if m.tl.Capacity().CPU == n && m.usable() && m.reported {
+				m.warm = min(left, n/4)
+				left -= m.warm
+			}
 		}
 	}
 }
@@ -350,16 +359,36 @@
 // bookUnplaced books what bookSoon was called for.
 func (c *Core) bookUnplaced() {
 	l := c.lead
+	// Most tasks of earlier jobs run somewhere, and their machines are about to say so:
+	// booked before that, they would be booked for nothing.
+	early := !l.settled() && 10*len(l.owed) > len(l.fleet) && c.now.Sub(l.since) < c.report
+	visits, booked, left := 0, 0, l.unplaced[:0]
 	for _, j := range l.unplaced {
+		if early && j.earlier || visits >= visitsMost {
+			left = append(left, j)
+			continue
+		}
 		j.unplaced = false
 		c.book(j)
+		booked++
+		visits += 1 + len(l.fleet)
 	}
-	if len(l.unplaced) > 0 {
-		l.unplaced = l.unplaced[:0]
+	clear(l.unplaced[len(left):])
+	if l.unplaced = left; booked > 0 {
 		l.dirty = true
 	}
+	if len(left) > 0 && visits >= visitsMost && !l.placing {
+		l.placing = true
+		c.whenLeading(0, func() { l.placing = false }) // and on in the step after it
+	}
 }
 
+// visitsMost bounds how many machines are asked for slots in a row. A take-over, or a
+// zone that is lost, has hundreds of jobs booked on thousands of machines: done in one
+// step, that outlasts the leader's grant on a small share of a processor, and the next
+// leader's as well, and so on for ever.
+const visitsMost = 1 << 14
+
 // drop takes a booking away whole.
 func (c *Core) drop(b *booking) {
 	j := b.job
@@ -413,6 +442,15 @@
 	}
 }
 
+// rebookMost is how many jobs are looked at again at a time on a fleet of so many
+// machines: each asks all of them.
+func rebookMost(machines int) int {
+	if machines <= 1400 {
+		return 24
+	}
+	return max(2, visitsMost/machines)
+}
+
 // rebook finds new slots for jobs that have bookings whose time has come without
 // room, or none on a machine. A few at a time: it is the costliest thing we do.
 func (c *Core) rebook(limit int) {
--- a/internal/core/relays.go
+++ b/internal/core/relays.go
@@ -14,9 +14,12 @@
 // the way: a reply is the leader's word on one report, and counts or not by the
 // report's tenure and counter and by its term, however it has travelled.
 const (
-	// relayEvery is how often a relay sends at the most: what comes in between goes
-	// in one line.
-	relayEvery = 10 * time.Millisecond
+	// relayEvery is how often a relay sends at the most, and by how much less often for
+	// each of its workers: what comes in between goes in one line. Each line costs the
+	// leader a few calls to its system, whatever is in it.
+	relayEvery     = 10 * time.Millisecond
+	relayPerWorker = 25 * time.Microsecond
+	relayEveryMost = 40 * time.Millisecond
 	// relayBeat is how often a relay looks after what waits, and says that it is there.
 	relayBeat = 400 * time.Millisecond
 	// relayWait is how long a report waits for the leader's reply, or for a leader.
@@ -184,7 +187,8 @@
 	if len(r.items) == 0 && len(r.gone) == 0 {
 		return
 	}
-	if wait := r.flushed.Add(relayEvery).Sub(c.now); wait > 0 && r.tasks < lineMost {
+	every := min(relayEvery+time.Duration(len(r.known))*relayPerWorker, relayEveryMost)
+	if wait := r.flushed.Add(every).Sub(c.now); wait > 0 && r.tasks < lineMost {
 		if !r.flushing {
 			r.flushing = true
 			c.after(wait, func() { c.relay.flushing = false }) // and the pump after it
@@ -249,7 +253,7 @@
 		if r.byHost[p.report.Host] == p {
 			delete(r.byHost, p.report.Host)
 		}
-		a := AnswerReport{Ref: x.Ref, Status: 200, Epoch: m.Term, Orders: x.Read(), Upstream: x.Upstream}
+		a := AnswerReport{Ref: x.Ref, Status: 200, Epoch: m.Term, Orders: x.Orders, Upstream: x.Upstream}
 		if x.Status != 0 {
 			a.Status = x.Status
 		}
@@ -393,7 +397,7 @@
 	if by.Session != p.unfold.Session() {
 		return // nobody waits for it there
 	}
-	x := relay.Reply{Ref: a.Ref, Upstream: a.Upstream, Orders: relay.Orders(a.Orders)}
+	x := relay.Reply{Ref: a.Ref, Upstream: a.Upstream, Orders: slices.Clone(a.Orders)}
 	if a.Status != 200 {
 		x.Status = a.Status
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -256,7 +256,7 @@
 	c.keepWarm(c.pol.Warm(e))
 	c.giveBack()
 	c.consolidate()
-	c.rebook(24)
+	c.rebook(rebookMost(len(l.fleet)))
 	// Releases go first: a take-over may wait for one, and rentals use up what
 	// calls the cloud allows for as long as there is a backlog.
 	c.pumpReleases()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,12 +49,12 @@
 	if _, err := rand.Read(seed[:]); err != nil {
 		return err
 	}
-	inbox := make(chan any, 1024)
+	inbox, urgent := make(chan any, 1024), make(chan any, 256)
 	leaving := make(chan os.Signal, 1)
 	signal.Notify(leaving, syscall.SIGTERM, syscall.SIGINT)
 	n := &node{
 		core:    core.New(cfg, ops.Policy, ops.Calendars, binary.LittleEndian.Uint64(seed[:])),
-		state:   state.New(cfg.External.State, inbox),
+		state:   state.New(cfg.External.State, urgent),
 		cloud:   cloud.New(cfg.External.Cloud, inbox),
 		prober:  api.NewProber(inbox),
 		mesh:    peer.New(cfg.HostName, cfg.Seeds, peers, inbox),
@@ -68,7 +68,7 @@
 		failed <- api.Serve(clients, relay.Clients(sockets(cfg)), inbox, n.isReady)
 	}()
 	slog.Info("node started", "node", cfg.HostName, "zone", cfg.Site)
-	return n.loop(inbox, failed, leaving)
+	return n.loop(urgent, inbox, failed, leaving)
 }
 
 type node struct {
@@ -88,13 +88,22 @@
 	later   later
 }
 
-func (n *node) loop(inbox <-chan any, failed <-chan error, leaving <-chan os.Signal) error {
+func (n *node) loop(urgent, inbox <-chan any, failed <-chan error, leaving <-chan os.Signal) error {
 	timer := time.NewTimer(0)
 	var left <-chan time.Time
 	for {
-		in := n.later.due(len(inbox) == 0)
+		// What the state service says goes first: on a node that has fallen behind the
+		// grant would run out while its renewal stands in line, and the node that leads
+		// next has all the more to catch up with.
+		var in any
+		select {
+		case in = <-urgent:
+		default:
+			in = n.later.due(len(inbox) == 0)
+		}
 		if in == nil {
 			select {
+			case in = <-urgent:
 			case in = <-inbox:
 			case <-timer.C:
 				in = core.Tick{}
--- a/internal/relay/fold.go
+++ b/internal/relay/fold.go
@@ -64,9 +64,7 @@
 		}
 		it.Dropped = append(it.Dropped, i)
 	}
-	for _, t := range r.Tasks[at:] {
-		it.Added = append(it.Added, Added{t.Task.Job, t.Task.Index, t.Try, t.Phase, t.Cause})
-	}
+	it.Added = r.Tasks[at:]
 	return it
 }
 
@@ -172,10 +170,10 @@
 			ts[c.At].Phase, ts[c.At].Cause = c.Phase, c.Cause
 		}
 		for _, a := range it.Added {
-			if a.Job == "" || a.Index < 0 || !a.Phase.Known() {
+			if a.Task.Job == "" || !a.Phase.Known() {
 				return report.Report{}, errors.New("a task is none")
 			}
-			ts = append(ts, report.Task{Task: report.TaskID{Job: a.Job, Index: a.Index}, Try: a.Try, Phase: a.Phase, Cause: a.Cause})
+			ts = append(ts, a)
 		}
 		r.Tasks = slices.Clip(ts)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,11 +9,7 @@
 // differs from the one that Fold was given, or one out of the order of its link.
 package relay
 
-import (
-	"time"
-
-	"yewpass/internal/report"
-)
+import "yewpass/internal/report"
 
 // Link is one uninterrupted stream of batches from a relay to a leader. A relay draws
 // a new session for every leader, every term and every time the stream breaks, so
@@ -46,7 +42,7 @@
 
 	Dropped []int    `json:"d,omitempty"` // places in the list of the report before, rising
 	Changed []Change `json:"p,omitempty"` // by place in what is left of it
-	Added   []Added  `json:"a,omitempty"` // at the end
+	Added   Tasks    `json:"a,omitempty"` // at the end
 }
 
 // Who is what a machine is.
@@ -65,15 +61,6 @@
 	Cause string       `json:"c,omitempty"`
 }
 
-// Added is a task that was not listed before.
-type Added struct {
-	Job   string       `json:"j"`
-	Index int          `json:"x,omitempty"`
-	Try   uint64       `json:"y"`
-	Phase report.Phase `json:"p"`
-	Cause string       `json:"c,omitempty"`
-}
-
 // Replies is what a leader has a relay tell its workers, in one line.
 type Replies struct {
 	Session uint64  `json:"s"`           // the relay's, which it answers
@@ -83,43 +70,10 @@
 
 // Reply answers a report.
 type Reply struct {
-	Ref      uint64  `json:"i"`
-	Status   int     `json:"s,omitempty"` // of HTTP; 0 is 200
-	Upstream string  `json:"u,omitempty"`
-	Orders   []Order `json:"o,omitempty"`
-}
-
-// Order is a report.Order on the wire.
-type Order struct {
-	Verb    report.Verb `json:"v"`
-	Job     string      `json:"j"`
-	Index   int         `json:"x,omitempty"`
-	Try     uint64      `json:"y"`
-	DrainMS int64       `json:"d,omitempty"`
-}
-
-// Orders puts orders on the wire.
-func Orders(os []report.Order) []Order {
-	if len(os) == 0 {
-		return nil
-	}
-	ws := make([]Order, len(os))
-	for i, o := range os {
-		ws[i] = Order{o.Verb, o.Task.Job, o.Task.Index, o.Try, o.Drain.Milliseconds()}
-	}
-	return ws
-}
-
-// Read takes a reply's orders off the wire.
-func (r *Reply) Read() []report.Order {
-	if len(r.Orders) == 0 {
-		return nil
-	}
-	os := make([]report.Order, len(r.Orders))
-	for i, o := range r.Orders {
-		os[i] = report.Order{Verb: o.Verb, Task: report.TaskID{Job: o.Job, Index: o.Index}, Try: o.Try, Drain: time.Duration(o.DrainMS) * time.Millisecond}
-	}
-	return os
+	Ref      uint64 `json:"i"`
+	Status   int    `json:"s,omitempty"` // of HTTP; 0 is 200
+	Upstream string `json:"u,omitempty"`
+	Orders   Orders `json:"o,omitempty"`
 }
 
 // Sound reports whether replies are ones that a leader gives.
@@ -130,7 +84,7 @@
 			return false
 		}
 		for _, o := range x.Orders {
-			if !o.Verb.Known() || o.Job == "" || o.Index < 0 || o.DrainMS < 0 {
+			if !o.Verb.Known() || o.Task.Job == "" {
 				return false
 			}
 		}
--- /dev/null
+++ b/internal/relay/text.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"errors"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"yewpass/internal/report"
+)
+
+// Tasks and orders are most of what goes over a link, a hundred thousand of them when a
+// large fleet changes its leader. As objects of JSON each costs the leader more than all
+// that it then does with it, so a list is one string: fields parted by spaces, tasks by
+// commas, and in names all but letters, digits and -_.~ written as in a URL's query.
+
+var errText = errors.New("a list of tasks that no controller writes")
+
+// Tasks is a list of tasks on the wire: "JOB INDEX TRY PHASE CAUSE,…".
+type Tasks []report.Task
+
+// MarshalText implements encoding.TextMarshaler.
+func (ts Tasks) MarshalText() ([]byte, error) {
+	b := make([]byte, 0, 40*len(ts))
+	for i := range ts {
+		t := &ts[i]
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = appendTask(b, t.Task, t.Try)
+		b = append(b, ' ')
+		b = append(b, url.QueryEscape(string(t.Phase))...)
+		b = append(b, ' ')
+		b = append(b, url.QueryEscape(t.Cause)...)
+	}
+	return b, nil
+}
+
+func appendTask(b []byte, id report.TaskID, try uint64) []byte {
+	b = append(b, url.QueryEscape(id.Job)...)
+	b = append(b, ' ')
+	b = strconv.AppendInt(b, int64(id.Index), 10)
+	b = append(b, ' ')
+	return strconv.AppendUint(b, try, 10)
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler. What it takes is a task by its
+// form; whether a phase is one is for whoever reads it.
+func (ts *Tasks) UnmarshalText(text []byte) error {
+	f := fields{rest: string(text)}
+	list := make(Tasks, 0, 1+strings.Count(f.rest, ","))
+	for f.more() {
+		t := report.Task{Task: report.TaskID{Job: f.name(' '), Index: f.index(' ')}, Try: f.number(' ')}
+		t.Phase = report.Phase(f.name(' '))
+		t.Cause = f.name(',')
+		list = append(list, t)
+	}
+	*ts = list
+	return f.err
+}
+
+// Orders is a list of orders on the wire: "VERB JOB INDEX TRY DRAIN,…", the drain in
+// milliseconds.
+type Orders []report.Order
+
+// MarshalText implements encoding.TextMarshaler.
+func (os Orders) MarshalText() ([]byte, error) {
+	b := make([]byte, 0, 40*len(os))
+	for i := range os {
+		o := &os[i]
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, url.QueryEscape(string(o.Verb))...)
+		b = append(b, ' ')
+		b = appendTask(b, o.Task, o.Try)
+		b = append(b, ' ')
+		b = strconv.AppendInt(b, o.Drain.Milliseconds(), 10)
+	}
+	return b, nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (os *Orders) UnmarshalText(text []byte) error {
+	f := fields{rest: string(text)}
+	list := make(Orders, 0, 1+strings.Count(f.rest, ","))
+	for f.more() {
+		o := report.Order{Verb: report.Verb(f.name(' ')), Task: report.TaskID{Job: f.name(' '), Index: f.index(' ')}, Try: f.number(' ')}
+		ms := f.number(',')
+		if ms > uint64(drainMost.Milliseconds()) {
+			f.err = errText
+		}
+		o.Drain = time.Duration(ms) * time.Millisecond
+		list = append(list, o)
+	}
+	*os = list
+	return f.err
+}
+
+// drainMost is far above any time that a task is given to save.
+const drainMost = 30 * 24 * time.Hour
+
+// fields reads fields off a text, one after the other; after an error there are none.
+type fields struct {
+	rest string
+	err  error
+}
+
+func (f *fields) more() bool { return f.rest != "" && f.err == nil }
+
+func (f *fields) next(sep byte) string {
+	i := strings.IndexByte(f.rest, sep)
+	if i < 0 {
+		if sep != ',' { // only the last field of the last task ends with the text
+			f.err = errText
+		}
+		s := f.rest
+		f.rest = ""
+		return s
+	}
+	s := f.rest[:i]
+	if f.rest = f.rest[i+1:]; sep == ',' && f.rest == "" {
+		f.err = errText // something had to follow
+	}
+	return s
+}
+
+func (f *fields) name(sep byte) string {
+	s := f.next(sep)
+	if strings.IndexByte(s, '%') < 0 && strings.IndexByte(s, '+') < 0 {
+		return s
+	}
+	u, err := url.QueryUnescape(s)
+	if err != nil {
+		f.err = errText
+	}
+	return u
+}
+
+func (f *fields) number(sep byte) uint64 {
+	n, err := strconv.ParseUint(f.next(sep), 10, 64)
+	if err != nil {
+		f.err = errText
+	}
+	return n
+}
+
+func (f *fields) index(sep byte) int {
+	n, err := strconv.ParseUint(f.next(sep), 10, 31)
+	if err != nil {
+		f.err = errText
+	}
+	return int(n)
+}
