Submissions are accepted while there is no leader, and the leader takes them on

Change: a node that knows of no leader, or whose leader has not answered within 0.7 s, records the submission itself, on the condition that the job has neither a live nor a final record, with a note that the leader follows (internal/core/alone.go). Together the nodes keep to a tenth of the changes a second. New orders of events: a start through a relay, two relays and one worker, a held link, acceptance without a leader.

--- /dev/null
+++ b/internal/core/alone.go
@@ -0,0 +1,137 @@
+package core
+
+import (
+	"log/slog"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// A submission needs a durable record, not a leader. While a node knows of none, or the
+// one it knows does not answer, it writes the record itself, on the condition that the
+// job has neither a live nor a final one, and answers 201. To the leader, the next or
+// the same, that record is what one of its own is whose transaction came through after
+// it had been given up: whoever asks for the job has it taken on (readBack, adopt). So
+// that it need not wait for somebody to ask, a note goes along in the same transaction,
+// and the leader follows the notes.
+//
+// Nothing is started, cancelled or refused without a leader. Tasks of the job start
+// once a leader has taken it on. A leader whose term began before the record was
+// written has it from the note, and no earlier leader can have started anything of it,
+// since its authority ended before that term began; one whose term began later reads
+// it with all others, as a job accepted earlier.
+const (
+	alonePart  = 0.1 // of the changes that the state service allows: a leader uses up to nine tenths
+	aloneBurst = 0.5 // of one second's changes: all nodes together stay below what the service takes at once
+	// submitWait is how long the leader is left to answer a submission that was passed on.
+	submitWait = 700 * time.Millisecond
+	// flavorsEvery is how often a node that does not lead reads the machine types.
+	flavorsEvery = time.Minute
+)
+
+func newAloneLimit(writes float64, nodes int) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(writes*alonePart/float64(nodes)), max(1, int(writes*aloneBurst/float64(nodes))))
+}
+
+// learnFlavors reads the machine types now and then: what can never run is refused, and
+// who knows no types can neither refuse nor accept.
+func (c *Core) learnFlavors() {
+	if c.lead != nil { // which has its own
+		c.after(c.jitter(flavorsEvery), c.learnFlavors)
+		return
+	}
+	c.cloud(CloudCall{Op: CloudCatalog}, func(r CloudReply) {
+		if r.Outcome != OK || len(r.Flavors) == 0 {
+			c.after(c.jitter(4*time.Second), c.learnFlavors)
+			return
+		}
+		c.flavors = r.Flavors
+		c.after(c.jitter(flavorsEvery), c.learnFlavors)
+	})
+}
+
+// acceptAlone records a submission without a leader.
+func (c *Core) acceptAlone(call UserCall) {
+	s := call.Spec
+	no := unavailable("no leader at present")
+	switch {
+	case c.lead != nil || call.From != "" || len(c.cfg.Seeds) == 0 || len(c.flavors) == 0 || !c.pol.NeverRefuses():
+		c.answer(call, no)
+		return
+	case !c.fits(recordSize(s)):
+		c.answer(call, AnswerUser{Status: 400, Field: "flavors", Reason: "flavors: the description is too long"})
+		return
+	}
+	if c.neverRunsOn(s, c.teamNamed(s.Owner), c.flavors) != "" {
+		c.answer(call, no) // the leader says so, who asks the records first
+		return
+	}
+	if !c.alone.AllowN(c.now, 2) || !c.reads.AllowN(c.now, 1) {
+		c.answer(call, no)
+		return
+	}
+	rec := &JobRecord{Spec: *s, Submitted: c.now.Round(0)}
+	c.store(StoreCall{Op: StoreTxn,
+		When: []Cond{{jobKeys + s.ID, 0}, {finalKeys + s.ID, 0}},
+		Then: []Write{{Key: jobKeys + s.ID, Value: rec}, {Key: aloneKeys + s.ID, Value: &LeaderRecord{Node: c.cfg.HostName, Term: max(1, c.termMax)}}},
+	}, func(r StoreReply) {
+		switch r.Outcome {
+		case OK:
+			c.note(slog.LevelInfo, "job accepted without a leader", "job", s.ID)
+			c.answer(call, AnswerUser{Status: 201, View: JobView{ID: s.ID, State: Queued}})
+		case Conflict, Unknown:
+			// It has a record, maybe this one.
+			c.readJob(s.ID, func(v *JobView, known bool) {
+				if known && v != nil {
+					c.answer(call, AnswerUser{Status: 200, View: *v})
+				} else {
+					c.answer(call, no)
+				}
+			})
+		default:
+			c.answer(call, no)
+		}
+	})
+}
+
+// followAlone takes on what nodes have accepted without a leader.
+func (c *Core) followAlone() {
+	c.leaderStore(StoreCall{Op: StoreList, Key: aloneKeys, Limit: 200}, func(r StoreReply) {
+		switch {
+		case r.Outcome != OK:
+			c.whenLeading(c.jitter(time.Second), c.followAlone)
+		case len(r.Entries) > 0:
+			for _, e := range r.Entries {
+				c.learnAlone(e.Key)
+			}
+			c.whenLeading(c.jitter(time.Second), c.followAlone)
+		default:
+			c.leaderStore(StoreCall{Op: StoreFollow, Key: aloneKeys, FromRev: r.Rev, Wait: 20 * time.Second, Within: 25 * time.Second}, func(f StoreReply) {
+				if f.Outcome == OK {
+					c.followAlone()
+				} else {
+					c.whenLeading(c.jitter(time.Second), c.followAlone)
+				}
+			})
+		}
+	})
+}
+
+// learnAlone takes on the job that a note names, and drops the note.
+func (c *Core) learnAlone(key string) {
+	l := c.lead
+	id := strings.TrimPrefix(key, aloneKeys)
+	drop := func() { l.pipe.add(&change{lane: bulk, writes: []Write{{Key: key}}}) }
+	if l.jobs[id] != nil || l.unread[id] {
+		drop()
+		return
+	}
+	c.adopt(id, drop, func() {
+		c.readJob(id, func(v *JobView, known bool) {
+			if c.lead == l && known && (v == nil || v.State == Done || v.State == Cancelled) {
+				drop() // it is over already
+			}
+		})
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	machineKeys = liveKeys + "machine/"
 	doneKeys    = liveKeys + "progress/"
 	finalKeys   = rootKey + "final/"
+	aloneKeys   = rootKey + "alone/" // notes of jobs that were accepted without a leader
 
 	// Schedules lie apart: a take-over does not wait for them.
 	scheduleKeys = rootKey + "schedule/"
@@ -72,6 +73,8 @@
 	final     *lru.Cache[string, FinalRecord] // how recent jobs ended
 	relay     relaying
 	passed    time.Time // when we last handed over
+	flavors   []Flavor  // as read while not leading
+	alone     *rate.Limiter
 	reads     *rate.Limiter
 	stateUp   bool
 
@@ -89,6 +92,7 @@
 		report: cfg.Settings.Workers.Report.Duration(),
 		lease:  cfg.Settings.Workers.Lease.Duration(),
 	}
+	c.alone = newAloneLimit(cfg.Settings.State.WriteRPS, 1+len(cfg.Seeds))
 	// A leader without authority goes on answering reports for this long, so
 	// that tasks outlive an outage. It must end early enough that a task whose
 	// job was cancelled under a successor is gone in time: the successor's
@@ -108,6 +112,7 @@
 		c.watch()
 		if len(c.cfg.Seeds) > 0 {
 			c.relayTick()
+			c.learnFlavors()
 		}
 	}
 	c.alarms()
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -350,6 +350,9 @@
 	}
 	c.note(slog.LevelWarn, "leadership lost", "term", l.term, "reason", why)
 	c.lead = nil
+	if len(l.rent.flavors) > 0 {
+		c.flavors = l.rent.flavors
+	}
 	// Workers that wait here need not look for the next leader: we pass on what they
 	// have said. Other relays do the same with theirs.
 	for _, m := range l.fleet {
@@ -464,6 +467,9 @@
 	}
 	c.listMachines("", nil)
 	c.probeAll()
+	if len(c.cfg.Seeds) > 0 {
+		c.followAlone()
+	}
 	c.loadSchedules("")
 	c.tickLead()
 }
--- /dev/null
+++ b/internal/core/relays_test.go
@@ -0,0 +1,199 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"yewpass/internal/calendar"
+	"yewpass/internal/config"
+	"yewpass/internal/policy"
+	"yewpass/internal/relay"
+)
+
+// relayNode is a controller that does not lead, with a clock and what it has said.
+type relayNode struct {
+	*Core
+	t    *testing.T
+	now  time.Time
+	outs []any
+}
+
+func newRelayNode(t *testing.T) *relayNode {
+	cfg := &config.Config{HostName: "n0", Seeds: []config.Seed{{HostName: "n1"}, {HostName: "n2"}}}
+	cfg.Settings.Workers = config.Workers{Report: 5, Lease: 29, Cancel: 54}
+	cfg.Settings.State = config.State{RPS: 250, WriteRPS: 60, ValueKB: 16, TxnOps: 12}
+	pol, err := policy.Parse(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &relayNode{New(cfg, pol, calendar.NewSet(nil), 7), t, t0, nil}
+	n.in(Tick{})
+	for _, p := range []string{"n1", "n2"} {
+		n.in(PeerLink{Name: p, Up: true})
+	}
+	n.in(PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerLeader, Term: 5}})
+	return n
+}
+
+func (n *relayNode) in(in any) {
+	n.outs = append(n.outs, n.Step(n.now, in)...)
+}
+
+// pass lets time go by.
+func (n *relayNode) pass(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.in(Tick{}) {
+		n.now = n.now.Add(5 * time.Millisecond)
+	}
+}
+
+func (n *relayNode) worker(ref, counter uint64) {
+	n.in(ReportIn{Ref: ref, Report: Report{Host: "host-1", Address: "a:1", Flavor: "f", Zone: "a", Tenure: 1, Counter: counter, Epoch: 5}})
+	n.pass(50 * time.Millisecond)
+}
+
+// sent returns the batches that went to a node since it was last asked.
+func (n *relayNode) sent(to string) (bs []*relay.Batch) {
+	for i, o := range n.outs {
+		if p, ok := o.(PeerSend); ok && p.To == to && p.Msg.Kind == PeerReports {
+			bs = append(bs, p.Msg.Reports)
+			n.outs[i] = nil
+		}
+	}
+	return bs
+}
+
+// told returns the statuses that a report's worker was told.
+func (n *relayNode) told(ref uint64) (ss []int) {
+	for _, o := range n.outs {
+		if a, ok := o.(AnswerReport); ok && a.Ref == ref {
+			ss = append(ss, a.Status)
+		}
+	}
+	return ss
+}
+
+func (n *relayNode) reply(from string, term, session, ref uint64) {
+	n.in(PeerIn{From: from, Msg: PeerMsg{Kind: PeerReplies, Term: term, Replies: &relay.Replies{Session: session,
+		List: []relay.Reply{{Ref: ref, Orders: relay.Orders{{Verb: Start, Task: TaskID{Job: "wk-1"}, Try: 9}}}}}}})
+}
+
+func (n *relayNode) expect(what string, ref uint64, want ...int) {
+	n.t.Helper()
+	got := n.told(ref)
+	if len(got) != len(want) || len(got) > 0 && got[0] != want[0] {
+		n.t.Errorf("%s: report %d was answered %v, it should be %v", what, ref, got, want)
+	}
+}
+
+// TestRelayLetsOut: what a relay lets out to a worker is the newest leader's word on
+// this very report, and nothing else, however late or often other words come.
+func TestRelayLetsOut(t *testing.T) {
+	n := newRelayNode(t)
+	n.worker(1, 1)
+	bs := n.sent("n1")
+	if len(bs) != 2 || len(bs[1].Reports) != 1 || bs[0].Session != bs[1].Session || bs[1].Reports[0].Machine == nil {
+		t.Fatalf("%d batches", len(bs))
+	}
+	first := bs[0].Session
+	n.reply("n1", 5, first+1, 1)
+	n.expect("of another session", 1)
+	n.reply("n2", 5, first, 1)
+	n.expect("of who does not lead", 1)
+	n.reply("n1", 4, first, 1)
+	n.expect("of an older term", 1)
+	n.reply("n1", 5, first, 1)
+	n.reply("n1", 5, first, 1)
+	n.expect("the leader's", 1, 200)
+
+	// The next term is known: the old leader's word counts no more, and the new one
+	// hears of the report.
+	n.worker(2, 2)
+	n.sent("n1")
+	n.in(PeerIn{From: "n2", Msg: PeerMsg{Kind: PeerLeader, Term: 6}})
+	n.reply("n1", 5, first, 2)
+	n.expect("of the term before", 2)
+	n.pass(50 * time.Millisecond)
+	bs = n.sent("n2")
+	if len(bs) == 0 || len(bs[0].Reports) != 1 || bs[0].Reports[0].Machine == nil || bs[0].Session == first {
+		t.Fatalf("the new leader is not told: %+v", bs)
+	}
+	second := bs[0].Session
+
+	// Lines were lost: all that waits is told again, in a session of its own.
+	n.in(PeerIn{From: "n2", Msg: PeerMsg{Kind: PeerReplies, Term: 6, Replies: &relay.Replies{Session: second, Again: true}}})
+	bs = n.sent("n2")
+	if len(bs) != 1 || len(bs[0].Reports) != 1 || bs[0].Session == second || bs[0].Number != 1 {
+		t.Fatalf("not told again: %+v", bs)
+	}
+	n.reply("n2", 6, second, 2)
+	n.expect("of the session before", 2)
+	n.reply("n2", 6, bs[0].Session, 2)
+	n.expect("the new leader's", 2, 200)
+
+	// The worker comes again before it was answered: it waits for one reply alone.
+	n.worker(3, 4)
+	n.worker(4, 3)
+	n.expect("delayed on the way", 4, 503)
+	n.worker(5, 5)
+	n.expect("given up", 3, 503)
+	n.in(ReportGone{Ref: 5})
+	n.pass(50 * time.Millisecond)
+	var gone []uint64
+	for _, b := range n.sent("n2") {
+		gone = append(gone, b.Gone...)
+	}
+	if len(gone) != 2 {
+		t.Errorf("the leader is told that %v are gone", gone)
+	}
+
+	// Nobody answers in time, and the leader is out of reach: the worker goes there.
+	n.worker(6, 6)
+	n.in(PeerLink{Name: "n2"})
+	n.pass(3800 * time.Millisecond)
+	n.expect("unanswered", 6, 421)
+	n.worker(7, 7)
+	n.expect("out of reach", 7, 421)
+}
+
+// TestRelayToldAgain: the leader takes a report that a relay tells again for what it
+// is. What it had answered before was lost, and is known not to have been carried out
+// once the worker reports again.
+func TestRelayToldAgain(t *testing.T) {
+	c := leaderOf(t, 1)
+	c.cfg.Seeds = []config.Seed{{HostName: "n1"}}
+	m := c.lead.fleet[0]
+	j := newJob(c, 1, 1, testRand())
+	j.spec.Class, j.any = "c", true
+	c.book(j)
+	rep := reportOf(m)
+	send := func(session, number, ref uint64, f *relay.Fold, r Report) (orders int, answered bool) {
+		for _, o := range c.Step(c.now.Add(time.Second), PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerReports, Term: 1, Reports: f.Batch([]relay.Item{f.Item(ref, &r)}, nil)}}) {
+			if p, ok := o.(PeerSend); ok && p.Msg.Kind == PeerReplies {
+				for _, x := range p.Msg.Replies.List {
+					if x.Ref != ref || x.Status != 0 || p.Msg.Replies.Session != session {
+						t.Errorf("%+v in session %d", x, p.Msg.Replies.Session)
+					}
+					return len(x.Orders), true
+				}
+			}
+		}
+		return 0, false
+	}
+	if n, ok := send(3, 1, 17, relay.NewFold(3), rep); !ok || n != 1 {
+		t.Fatalf("%d orders, answered %v", n, ok)
+	}
+	// The link broke with the reply on it.
+	f := relay.NewFold(4)
+	send(4, 1, 17, f, rep)
+	if len(m.runs) != 1 || j.waiting != 0 {
+		t.Fatalf("%d runs, %d wait", len(m.runs), j.waiting)
+	}
+	rep.Counter++
+	if send(4, 2, 18, f, rep); len(m.runs) != 0 || j.waiting != 1 {
+		t.Fatalf("%d runs, %d wait", len(m.runs), j.waiting)
+	}
+	rep.Counter++
+	if n, ok := send(4, 3, 19, f, rep); !ok || n != 1 {
+		t.Errorf("the start that was lost is not given again: %d orders, answered %v", n, ok)
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -28,6 +28,9 @@
 	leader string
 }
 
+// notLeader is what a node says to one that took it for the leader.
+const notLeader = "not the leader"
+
 func unavailable(reason string) AnswerUser {
 	return AnswerUser{Status: 503, RetryAfter: time.Second, Reason: reason}
 }
@@ -48,7 +51,7 @@
 		return
 	}
 	if call.From != "" {
-		c.answer(call, unavailable("not the leader"))
+		c.answer(call, unavailable(notLeader))
 		return
 	}
 	if ofCluster(call.Op) {
@@ -76,8 +79,11 @@
 	c.calls[ref] = &forwarded{call, c.hint}
 	c.emit(PeerSend{c.hint, PeerMsg{Kind: PeerCall, Ref: ref, Op: call.Op, ID: call.ID, Spec: call.Spec, Schedule: call.Schedule}})
 	wait := 2500 * time.Millisecond
-	if call.Op == OpGet {
+	switch call.Op {
+	case OpGet:
 		wait = 800 * time.Millisecond // a poll is given up after 2 s
+	case OpSubmit:
+		wait = submitWait
 	}
 	c.after(wait, func() {
 		if c.calls[ref] != nil {
@@ -93,7 +99,7 @@
 		return
 	}
 	delete(c.calls, m.Ref)
-	if m.Answer.Status == 503 && f.call.Op == OpGet {
+	if m.Answer.Status == 503 && (f.call.Op == OpGet || f.call.Op == OpSubmit && m.Answer.Reason == notLeader) {
 		c.withoutLeader(f.call)
 		return
 	}
@@ -121,6 +127,10 @@
 		c.answer(call, AnswerUser{Status: 200, Doc: c.cluster()})
 		return
 	}
+	if call.Op == OpSubmit {
+		c.acceptAlone(call)
+		return
+	}
 	if call.Op != OpGet {
 		c.answer(call, unavailable("no leader at present"))
 		return
@@ -358,7 +368,20 @@
 
 // neverRuns says why a job can never run, or "".
 func (c *Core) neverRuns(s *JobSpec) string {
-	t := c.lead.teams[s.Owner]
+	return c.neverRunsOn(s, c.lead.teams[s.Owner], c.lead.rent.flavors)
+}
+
+// teamNamed returns a team as the settings have it, or nil.
+func (c *Core) teamNamed(name string) *team {
+	for _, t := range c.cfg.Settings.Teams {
+		if t.Name == name {
+			return newTeam(t)
+		}
+	}
+	return nil
+}
+
+func (c *Core) neverRunsOn(s *JobSpec, t *team, flavors []Flavor) string {
 	if t == nil || !t.configured {
 		return "unknown team " + s.Owner
 	}
@@ -369,8 +392,8 @@
 	if !t.within(s.Need(), n) {
 		return "the job needs more than the limit of team " + s.Owner
 	}
-	for i := range c.lead.rent.flavors {
-		f := &c.lead.rent.flavors[i]
+	for i := range flavors {
+		f := &flavors[i]
 		if flavorAllowed(s, f.Name) && s.Need().Fits(f.Capacity) && (s.Zone == "" || hasZone(f, s.Zone)) {
 			return ""
 		}
--- a/internal/scenario/orders_test.go
+++ b/internal/scenario/orders_test.go
@@ -47,45 +47,75 @@
 		name: "accept and retry", text: tiny + "team t\nrun 120s\nexpect over\nexpect leaders =1",
 		from: 6 * time.Second, events: []string{"submit wk-1 run=3s", "again wk-1", "crash leader back=3s"},
 		races: []string{"txn", "txn answer", "call", "answer"}, loses: []string{"txn", "txn answer"},
-		passes: []time.Duration{50 * time.Millisecond, 1600 * time.Millisecond, 2500 * time.Millisecond}, depth: 4, orders: 879,
+		passes: []time.Duration{50 * time.Millisecond, 1600 * time.Millisecond, 2500 * time.Millisecond}, depth: 4, orders: 855,
 	},
 	{
 		name: "cancel and start", text: tiny + "team t\nrun 120s\nexpect over\nexpect running wk-1 =0",
 		from: 6 * time.Second, events: []string{"submit wk-1 run=300s tasks=3", "cancel wk-1"},
-		races: []string{"txn", "txn answer", "reply", "call"}, passes: []time.Duration{600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 459,
+		races: []string{"txn", "txn answer", "reply", "call"}, passes: []time.Duration{600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 456,
 	},
 	{
 		name: "start and a change of leader", text: tiny + "team t\nat 5.9s submit wk-1 run=40s tasks=3\nrun 180s\nexpect over\nexpect leaders =1",
 		from: 5900 * time.Millisecond, events: []string{"crash leader back=3s", "cut 1 9s hold"},
-		races: []string{"reply", "report", "probe"}, passes: []time.Duration{300 * time.Millisecond, 3 * time.Second, 22 * time.Second}, depth: 4, orders: 2466,
+		races: []string{"reply", "report", "probe"}, passes: []time.Duration{300 * time.Millisecond, 3 * time.Second, 22 * time.Second}, depth: 4, orders: 2472,
 	},
 	{
 		name: "done and a change of leader", text: tiny + "team t\nat 6s submit wk-1 run=4s tasks=2\nrun 150s\nexpect over\nexpect leaders =1",
 		from: 10 * time.Second, events: []string{"crash leader back=3s"},
-		races: []string{"report", "reply", "txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{200 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 2174,
+		races: []string{"report", "reply", "txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{200 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 2221,
 	},
 	{
 		name: "end of a lease and a late report", text: tiny + "team t\nat 5s submit wk-1 run=60s tasks=3\nrun 250s\nexpect over",
 		from: 12 * time.Second, events: []string{"cut 1 30s hold", "hang 1 12s"},
-		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{time.Second, 21 * time.Second}, depth: 4, orders: 1342,
+		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{time.Second, 21 * time.Second}, depth: 4, orders: 1438,
 	},
 	{
 		name: "a limit across a take-over", text: tiny + "team t max=3\nat 5s submit wk-1 run=30s tasks=3\nrun 250s\nexpect over\nexpect leaders =1",
 		from: 9 * time.Second, events: []string{"crash leader back=3s", "submit wk-2 run=5s tasks=3", "cut 1 12s hold"},
-		races: []string{"report", "reply", "probe"}, passes: []time.Duration{500 * time.Millisecond, 22 * time.Second}, depth: 4, orders: 1994,
+		races: []string{"report", "reply", "probe"}, passes: []time.Duration{500 * time.Millisecond, 22 * time.Second}, depth: 4, orders: 1929,
 	},
 	{
 		name: "a late transaction under a successor", text: tiny + "team t\nat 5s submit wk-1 run=20s tasks=2\nrun 200s\nexpect over\nexpect leaders =1",
 		from: 9 * time.Second, events: []string{"cancel wk-1", "submit wk-2 run=3s", "deny leader 4s"},
-		races: []string{"txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second}, depth: 4, orders: 1685,
+		races: []string{"txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second}, depth: 4, orders: 1739,
 	},
 	{
 		name: "a machine taken", text: tiny + "team t\ncapacity s b spot=2\nmachines s b n=1 spot\nat 5s submit wk-1 run=20s tasks=9\nrun 250s\nexpect over",
 		from: 9 * time.Second, events: []string{"take 1", "take 1 notice=6s", "crash leader back=3s"},
-		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{600 * time.Millisecond, 4 * time.Second}, depth: 4, orders: 1247,
+		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{600 * time.Millisecond, 4 * time.Second}, depth: 4, orders: 951,
+	},
+	{
+		name: "a start through a relay and a change of leader", text: relayed + "at 5.9s submit wk-1 run=40s tasks=3\nrun 180s\nexpect over\nexpect leaders =1",
+		from: 5900 * time.Millisecond, events: []string{"crash leader back=3s"},
+		races: []string{"peer", "reply", "report", "probe"}, passes: []time.Duration{900 * time.Millisecond, 3 * time.Second}, depth: 4, orders: 2027,
+	},
+	{
+		name: "two relays and one worker", text: relayed + "at 5.9s submit wk-1 run=40s tasks=3\nrun 220s\nexpect over\nexpect leaders =1",
+		from: 5950 * time.Millisecond, events: []string{"cut 1 5s hold only=n0", "cut 1 6s hold only=n1", "crash leader back=3s"},
+		races: []string{"report", "reply", "peer"}, passes: []time.Duration{2500 * time.Millisecond, 5 * time.Second}, depth: 3, orders: 453,
+	},
+	{
+		name: "a held link", text: relayed + "at 5.9s submit wk-1 run=40s tasks=3\nrun 220s\nexpect over\nexpect leaders =1",
+		from: 5900 * time.Millisecond, events: []string{"cut n0 30s hold only=n1", "cut n1 30s hold only=n2", "crash leader back=2s"},
+		races: []string{"peer", "reply"}, passes: []time.Duration{time.Second, 3 * time.Second}, depth: 3, orders: 321,
+	},
+	{
+		name: "acceptance without a leader", text: relayed + "run 120s\nexpect over\nexpect accepted wk-1\nexpect leaders =1",
+		from: 6 * time.Second, events: []string{"submit wk-1 run=3s", "again wk-1", "crash leader back=3s"},
+		races: []string{"txn", "txn answer", "peer", "call"}, loses: []string{"txn", "txn answer"},
+		passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond}, depth: 4, orders: 1298,
 	},
 }
 
+const relayed = `
+seed 4
+nodes 3
+type s cpus=4 mem=16 rate=0.4 low=0.1 ready=2s fetch=10
+capacity s a n=3
+machines s a n=3
+team t
+`
+
 // racing is one play of an ordering.
 type racing struct {
 	*script
