Relays read once more: what was written twice is one piece now

Need: a last read found checks and texts standing twice, and state that could be derived.

Change, behaviour as it was: the rule of when an answer to a probe counts stands once (probeCounts, learnProbed), and is asked by the leader's probes and the relays' alike; lists on a link are written and read by one pair of functions; what weighs in a line, how full a node is, that a leader is known and linked, that a job is unheard of and that a description is too long are each said once; a machine's home is its relay, without a flag beside it; calls about the cluster take the way of all calls; a fold keeps what it compares; reports of an unknown state use the check that the change had added.

--- a/cmd/yewpass/cluster.go
+++ b/cmd/yewpass/cluster.go
@@ -13,17 +13,16 @@
 
 // clusterCommand shows the controllers and hands the leadership over.
 func clusterCommand() *cobra.Command {
-	var asJSON bool
 	cmd := &cobra.Command{
 		Use: "cluster", Short: "Show who leads, and by which node machines report", Args: cobra.NoArgs,
 		Example: "  yewpass cluster --node 127.0.0.1:8080\n" +
 			"  yewpass cluster --json | jq '.nodes[] | select(.role == \"away\").name'\n" +
 			"  yewpass cluster hand-over",
 	}
-	cmd.PersistentFlags().BoolVar(&asJSON, "json", false, "print the node's answer as it is")
-	node := cmd.PersistentFlags().String("node", "127.0.0.1:8080", "address of a node's client_listen")
+	node, asJSON := nodeFlag(cmd), jsonFlag(cmd)
+	cmd.PersistentFlags().AddFlagSet(cmd.Flags()) // hand-over has them as well
 	ask := func(cmd *cobra.Command, method, path string) error {
-		if asJSON {
+		if *asJSON {
 			return call(cmd, method, *node, path, nil)
 		}
 		var v core.Cluster
--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -85,9 +85,7 @@
 		if !ok {
 			return r, "shards.shard"
 		}
-		switch s.Status {
-		case core.Pulling, core.TaskRuns, core.Saving, core.Exited:
-		default:
+		if !s.Status.Known() {
 			// A state that we do not know is one in which the task is there.
 			s.Status = core.Pulling
 		}
--- a/internal/core/alone.go
+++ b/internal/core/alone.go
@@ -60,10 +60,10 @@
 		c.answer(call, no)
 		return
 	case !c.fits(recordSize(s)):
-		c.answer(call, AnswerUser{Status: 400, Field: "flavors", Reason: "flavors: the description is too long"})
+		c.answer(call, tooLong)
 		return
 	}
-	if c.neverRunsOn(s, c.teamNamed(s.Owner), c.flavors) != "" {
+	if neverRunsOn(s, c.teamNamed(s.Owner), c.flavors) != "" {
 		c.answer(call, no) // the leader says so, who asks the records first
 		return
 	}
@@ -73,7 +73,7 @@
 	}
 	rec := &JobRecord{Spec: *s, Submitted: c.now.Round(0)}
 	c.store(StoreCall{Op: StoreTxn,
-		When: []Cond{{jobKeys + s.ID, 0}, {finalKeys + s.ID, 0}},
+		When: unheardOf(s.ID),
 		Then: []Write{{Key: jobKeys + s.ID, Value: rec}, {Key: aloneKeys + s.ID, Value: &LeaderRecord{Node: c.cfg.HostName, Term: max(1, c.termMax)}}},
 	}, func(r StoreReply) {
 		switch r.Outcome {
@@ -107,7 +107,7 @@
 			}
 			c.whenLeading(c.jitter(time.Second), c.followAlone)
 		default:
-			c.leaderStore(StoreCall{Op: StoreFollow, Key: aloneKeys, FromRev: r.Rev, Wait: 20 * time.Second, Within: 25 * time.Second}, func(f StoreReply) {
+			c.leaderStore(follow(aloneKeys, r.Rev), func(f StoreReply) {
 				if f.Outcome == OK {
 					c.followAlone()
 				} else {
--- a/internal/core/cluster.go
+++ b/internal/core/cluster.go
@@ -39,7 +39,7 @@
 		v.Leader, v.Term, v.LeadsS, v.Authority = c.cfg.HostName, l.term, c.now.Sub(l.since).Seconds(), c.leads()
 		v.TookOver, v.Machines, v.Unaccounted, v.MachineMost = l.loaded && l.settled(), len(l.fleet), len(l.owed), c.fleetMost()
 		own.Role, own.Workers = "leader", l.relay("").workers
-	} else if c.hint == "" || !c.links[c.hint] {
+	} else if !c.linked() {
 		own.Role = "away"
 	}
 	v.Nodes = append(v.Nodes, own)
@@ -102,8 +102,7 @@
 // others have long begun by then, unless none of them is able to.
 const passedFor = 3 * time.Second
 
-// Leave has a leader hand over before its process ends on purpose. It reports whether
-// there was something to hand over.
+// Leave has a leader hand over before its process ends on purpose.
 type Leave struct{}
 
 func (c *Core) leave() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -241,15 +241,25 @@
 	if l := c.lead; l != nil {
 		// Out of authority, and no peer in reach that would know of another leader:
 		// users are served better anywhere else.
-		alone := len(c.cfg.Seeds) > 0 && l.held && c.now.Sub(l.until) > apartFor
-		for _, up := range c.links {
-			alone = alone && !up
-		}
+		alone := len(c.cfg.Seeds) > 0 && l.held && c.now.Sub(l.until) > apartFor && !c.anyLink()
 		return l.loaded && !alone
 	}
 	return c.hint != "" && (c.links[c.hint] || c.stateUp && c.now.Sub(c.apart) < apartFor)
 }
 
+// linked reports whether we know who leads and have a link to it.
+func (c *Core) linked() bool { return c.hint != "" && c.links[c.hint] }
+
+// anyLink reports whether we have a link to any other controller.
+func (c *Core) anyLink() bool {
+	for _, up := range c.links {
+		if up {
+			return true
+		}
+	}
+	return false
+}
+
 // apartFor is how long a node that has lost its link to the leader counts as
 // ready all the same: a change of leader is over sooner. Without the link it can
 // only send submissions away; those who ask should be led to other nodes.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -133,8 +133,13 @@
 	c.followLeader(from)
 }
 
+// follow waits until a key below the prefix has changed after a revision, or for long.
+func follow(prefix string, from uint64) StoreCall {
+	return StoreCall{Op: StoreFollow, Key: prefix, FromRev: from, Wait: 20 * time.Second, Within: 25 * time.Second}
+}
+
 func (c *Core) followLeader(from uint64) {
-	c.store(StoreCall{Op: StoreFollow, Key: leaderKey, FromRev: from, Wait: 20 * time.Second, Within: 25 * time.Second}, func(r StoreReply) {
+	c.store(follow(leaderKey, from), func(r StoreReply) {
 		if r.Outcome == OK {
 			c.watch()
 		} else {
@@ -178,7 +183,7 @@
 	if c.lead != nil {
 		return
 	}
-	if wait := c.passed.Add(passedFor).Sub(c.now); wait > 0 && !c.passed.IsZero() {
+	if wait := c.passed.Add(passedFor).Sub(c.now); wait > 0 {
 		c.after(wait, c.watch)
 		return
 	}
@@ -483,15 +488,10 @@
 	n := min(len(l.waiting), takenMost)
 	some := slices.Clone(l.waiting[:n])
 	l.waiting = slices.Delete(l.waiting, 0, n)
-	for i, r := range some {
-		if c.reportIn(r); c.lead != l {
-			for _, r := range some[i+1:] {
-				c.reportIn(r)
-			}
-			return
-		}
+	for _, r := range some {
+		c.reportIn(r) // which passes it on should we lead no more
 	}
-	if len(l.waiting) > 0 && !l.taking {
+	if c.lead == l && len(l.waiting) > 0 && !l.taking {
 		l.taking = true
 		c.whenLeading(0, func() {
 			l.taking = false
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -80,10 +80,9 @@
 	rentedAt        time.Time
 	readyAt         time.Time // expected, while it boots
 	held            *heldReport
-	home            string    // the relay that it reports by, or none: our own socket
-	homed           bool      // and is counted there
-	moved           time.Time // when it was last led to another node
-	poked           bool      // has orders that need not wait for its next report
+	home            *relayPeer // by which it reports, among whose workers it counts
+	moved           time.Time  // when it was last led to another node
+	poked           bool       // has orders that need not wait for its next report
 
 	tl     *timeline.Timeline
 	runs   []*run
@@ -243,7 +242,7 @@
 	})
 }
 
-// unhold takes away the report that a machine waits on and returns its number.
+// unhold takes away the report that a machine waits on and returns what names it.
 func (c *Core) unhold(m *machine) holdKey {
 	key := m.held.holdKey
 	delete(c.lead.holding, key)
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -20,26 +20,24 @@
 // probeAll begins to probe the machines that are owed: at once those that reported to
 // this node before it led.
 func (c *Core) probeAll() {
-	l := c.lead
-	relays := false
-	for _, up := range c.links {
-		relays = relays || up
+	own := c.lead.own
+	if !c.anyLink() {
+		c.probeThose(func(*machine) bool { return true })
+		return
 	}
+	c.probeThose(func(m *machine) bool { return own[m.host] != nil })
+	c.whenLeading(probeLater, func() {
+		c.probeThose(func(m *machine) bool { return own[m.host] == nil })
+	})
+}
+
+func (c *Core) probeThose(which func(*machine) bool) {
+	l := c.lead
 	for _, m := range l.fleet {
-		if l.owed[m.host] && m.address != "" && (!relays || l.own[m.host] != nil) {
+		if l.owed[m.host] && m.address != "" && which(m) {
 			l.toProbe = append(l.toProbe, m)
 		}
 	}
-	if relays {
-		c.whenLeading(probeLater, func() {
-			for _, m := range l.fleet {
-				if l.owed[m.host] && m.address != "" && l.own[m.host] == nil && !m.reported {
-					l.toProbe = append(l.toProbe, m)
-				}
-			}
-			c.probeMore()
-		})
-	}
 	c.probeMore()
 }
 
@@ -52,11 +50,23 @@
 	}
 }
 
-// probe probes a machine unless it has reported by itself. Then starts may be on
-// their way to it, of which the answer need not know.
+// probeCounts reports whether a machine's answer to a probe counts: not once it has
+// reported by itself. Then starts may be on their way to it, of which the answer need
+// not know.
+func (l *leadership) probeCounts(m *machine) bool {
+	return l.owed[m.host] && !m.reported && !m.releasing
+}
+
+// learnProbed takes in an answer that counts, of a worker that has seen our term.
+func (c *Core) learnProbed(m *machine, rep *Report) {
+	m.probed = true
+	c.learn(m, rep)
+}
+
+// probe probes a machine whose answer would count.
 func (c *Core) probe(m *machine, tenure uint64) {
 	l := c.lead
-	if !l.owed[m.host] || m.reported || m.releasing {
+	if !l.probeCounts(m) {
 		return
 	}
 	l.probing++
@@ -67,14 +77,13 @@
 		l.probing--
 		rep := &r.Report
 		switch {
-		case !l.owed[m.host] || m.reported || m.releasing:
+		case !l.probeCounts(m):
 		case r.Outcome != Unknown && rep.Epoch > l.term:
 			c.strayEpoch(m.host, rep.Epoch, func() { c.release(m) })
 		case r.Outcome != Unknown && rep.Host != m.host:
 			// Another machine has the address now.
 		case r.Outcome == OK && rep.Epoch == l.term:
-			m.probed = true
-			c.learn(m, rep)
+			c.learnProbed(m, rep)
 		case r.Outcome == Conflict && rep.Tenure != tenure:
 			c.probe(m, rep.Tenure)
 		default:
--- a/internal/core/relays.go
+++ b/internal/core/relays.go
@@ -30,7 +30,7 @@
 	relayApart = 2500 * time.Millisecond
 	// relayQuiet is after which time without a line the leader leads nobody to a relay.
 	relayQuiet = 3 * time.Second
-	// lineMost is about how many tasks or orders go in one line.
+	// lineMost is about how much goes in one line, as items and replies weigh.
 	lineMost = 400
 )
 
@@ -46,7 +46,7 @@
 	to       string
 	term     uint64
 	items    []relay.Item // that have not gone out
-	tasks    int          // listed in them
+	weight   int          // of them
 	gone     []uint64
 	flushed  time.Time
 	flushing bool
@@ -112,18 +112,23 @@
 }
 
 func (r *relaying) add(ref uint64, rep *Report) {
-	r.items = append(r.items, r.fold.Item(ref, rep))
-	it := &r.items[len(r.items)-1]
-	r.tasks += 4 + len(it.Added) + len(it.Changed) + len(it.Dropped)
+	it := r.fold.Item(ref, rep)
+	r.items = append(r.items, it)
+	r.weight += it.Weight()
 }
 
-// dropPassed takes a report out: nobody waits for its reply any more.
-func (c *Core) dropPassed(p *passed) {
-	r := &c.relay
+// remove takes a report out of those that wait.
+func (r *relaying) remove(p *passed) {
 	delete(r.waiting, p.ref)
 	if r.byHost[p.report.Host] == p {
 		delete(r.byHost, p.report.Host)
 	}
+}
+
+// dropPassed takes a report out: nobody waits for its reply any more.
+func (c *Core) dropPassed(p *passed) {
+	r := &c.relay
+	r.remove(p)
 	if r.fold != nil {
 		r.gone = append(r.gone, p.ref)
 	}
@@ -140,9 +145,6 @@
 	}
 	r := &c.relay
 	away := c.outOfReach()
-	if len(r.waiting) == 0 && len(r.known) == 0 && r.fold == nil {
-		return
-	}
 	for _, ref := range r.refs() {
 		p := r.waiting[ref]
 		if !away && c.now.Sub(p.since) < relayWait {
@@ -174,8 +176,8 @@
 // relayPump runs after each input while we do not lead.
 func (c *Core) relayPump() {
 	r := &c.relay
-	if c.hint == "" || !c.links[c.hint] {
-		r.fold, r.items, r.gone, r.tasks = nil, nil, nil, 0
+	if !c.linked() {
+		r.fold, r.items, r.gone, r.weight = nil, nil, nil, 0
 		return
 	}
 	if r.fold == nil || r.to != c.hint || r.term != c.termMax {
@@ -188,7 +190,7 @@
 		return
 	}
 	every := min(relayEvery+time.Duration(len(r.known))*relayPerWorker, relayEveryMost)
-	if wait := r.flushed.Add(every).Sub(c.now); wait > 0 && r.tasks < lineMost {
+	if wait := r.flushed.Add(every).Sub(c.now); wait > 0 && r.weight < lineMost {
 		if !r.flushing {
 			r.flushing = true
 			c.after(wait, func() { c.relay.flushing = false }) // and the pump after it
@@ -204,7 +206,7 @@
 	r := &c.relay
 	r.to, r.term = c.hint, c.termMax
 	r.fold = relay.NewFold(c.rng.Uint64() | 1) // never 0
-	r.items, r.gone, r.tasks = nil, nil, 0
+	r.items, r.gone, r.weight = nil, nil, 0
 	for _, ref := range r.refs() {
 		r.add(ref, &r.waiting[ref].report)
 	}
@@ -215,10 +217,9 @@
 func (c *Core) relayFlush() {
 	r := &c.relay
 	for first := true; first || len(r.items) > 0; first = false {
-		n, tasks := 0, 0
-		for n < len(r.items) && (n == 0 || tasks < lineMost) {
-			tasks += 4 + len(r.items[n].Added) + len(r.items[n].Changed) + len(r.items[n].Dropped)
-			n++
+		n := 0
+		for weight := 0; n < len(r.items) && weight < lineMost; n++ {
+			weight += r.items[n].Weight()
 		}
 		var gone []uint64
 		if n == len(r.items) {
@@ -227,7 +228,7 @@
 		c.emit(PeerSend{r.to, PeerMsg{Kind: PeerReports, Term: r.term, Reports: r.fold.Batch(r.items[:n:n], gone)}})
 		r.items = r.items[n:]
 	}
-	r.items, r.tasks, r.flushed = nil, 0, c.now
+	r.items, r.weight, r.flushed = nil, 0, c.now
 }
 
 // relayReplies passes the leader's replies on to workers. Only those of the newest
@@ -249,10 +250,7 @@
 		if p == nil {
 			continue
 		}
-		delete(r.waiting, x.Ref)
-		if r.byHost[p.report.Host] == p {
-			delete(r.byHost, p.report.Host)
-		}
+		r.remove(p)
 		a := AnswerReport{Ref: x.Ref, Status: 200, Epoch: m.Term, Orders: x.Orders, Upstream: x.Upstream}
 		if x.Status != 0 {
 			a.Status = x.Status
@@ -324,7 +322,7 @@
 	heard   time.Time
 	workers int // that report to it
 	replies []relay.Reply
-	orders  int // in them
+	weight  int // of them
 }
 
 // holdKey names a report whose reply is held: numbers are the relay's own.
@@ -342,15 +340,15 @@
 	p := l.relay(from)
 	reps, begun, err := p.unfold.Open(m.Reports)
 	if begun {
-		// What it has been asked before it asks again: the numbers of the session
-		// before mean nothing any more.
+		// All that waits there is told again. The numbers of the session before mean
+		// nothing any more.
 		for _, x := range l.fleet {
 			if x.held != nil && x.held.by.From == from {
 				c.unhold(x)
 			}
 		}
 		l.waiting = slices.DeleteFunc(l.waiting, func(r ReportIn) bool { return r.Relay.From == from })
-		p.replies, p.orders = nil, 0
+		p.replies, p.weight = nil, 0
 	}
 	if err != nil {
 		if err != relay.ErrBroken {
@@ -364,10 +362,8 @@
 	for i := range reps {
 		if ref := m.Reports.Reports[i].Ref; ref != 0 {
 			c.reportIn(ReportIn{Ref: ref, Relay: by, Report: reps[i]})
-		} else if x := l.machines[reps[i].Host]; x != nil && l.owed[x.host] && !x.reported && !x.releasing && l.loaded && reps[i].Epoch == l.term {
-			// Its answer to a probe: see probe for when that counts.
-			x.probed = true
-			c.learn(x, &reps[i])
+		} else if x := l.machines[reps[i].Host]; x != nil && l.loaded && l.probeCounts(x) && reps[i].Epoch == l.term {
+			c.learnProbed(x, &reps[i])
 		}
 		if c.lead != l {
 			return
@@ -400,13 +396,13 @@
 	if by.Session != p.unfold.Session() {
 		return // nobody waits for it there
 	}
-	x := relay.Reply{Ref: a.Ref, Upstream: a.Upstream, Orders: slices.Clone(a.Orders)}
+	x := relay.Reply{Ref: a.Ref, Upstream: a.Upstream, Orders: a.Orders}
 	if a.Status != 200 {
 		x.Status = a.Status
 	}
 	p.replies = append(p.replies, x)
-	p.orders += 4 + len(a.Orders)
-	if p.orders > lineMost {
+	p.weight += x.Weight()
+	if p.weight > lineMost {
 		c.sendReplies(by.From, p)
 	}
 }
@@ -416,7 +412,7 @@
 		return
 	}
 	c.emit(PeerSend{name, PeerMsg{Kind: PeerReplies, Term: c.lead.term, Replies: &relay.Replies{Session: p.unfold.Session(), List: p.replies}}})
-	p.replies, p.orders = nil, 0
+	p.replies, p.weight = nil, 0
 }
 
 // repliesOut sends what was answered in this step to the relays.
@@ -432,18 +428,18 @@
 
 // reportsTo notes by which node a machine reports.
 func (l *leadership) reportsTo(m *machine, by string) {
-	if m.homed && m.home == by {
-		return
+	if p := l.relay(by); m.home != p {
+		l.leaves(m)
+		m.home = p
+		p.workers++
 	}
-	l.leaves(m)
-	m.homed, m.home = true, by
-	l.relay(by).workers++
 }
 
+// leaves notes that a machine reports by none.
 func (l *leadership) leaves(m *machine) {
-	if m.homed {
-		m.homed = false
-		l.relay(m.home).workers--
+	if m.home != nil {
+		m.home.workers--
+		m.home = nil
 	}
 }
 
@@ -486,7 +482,7 @@
 // lose. A machine that comes back had a reason: the other node is out of its reach.
 func (c *Core) leadTo(m *machine, by string, first bool) string {
 	l := c.lead
-	if len(c.cfg.Seeds) == 0 || !c.leads() || !l.settled() || m.releasing || !m.moved.IsZero() && c.now.Sub(m.moved) < 3*c.lease {
+	if len(c.cfg.Seeds) == 0 || !c.leads() || !l.settled() || m.releasing || c.now.Sub(m.moved) < 3*c.lease {
 		return ""
 	}
 	first = first && by == ""
--- a/internal/core/schedule_write.go
+++ b/internal/core/schedule_write.go
@@ -32,7 +32,7 @@
 	if job != nil {
 		id := job.Spec.ID
 		ch.size += recordSize(&job.Spec)
-		ch.when = append(ch.when, Cond{jobKeys + id, 0}, Cond{finalKeys + id, 0})
+		ch.when = append(ch.when, unheardOf(id)...)
 		ch.writes = append(ch.writes, Write{Key: jobKeys + id, Value: job})
 	}
 	ch.done = func(rev uint64) {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -54,19 +54,11 @@
 		c.answer(call, unavailable(notLeader))
 		return
 	}
-	if ofCluster(call.Op) {
-		if c.lead == nil && c.hint != "" && c.links[c.hint] {
-			c.forward(call)
-		} else {
-			c.withoutLeader(call)
-		}
-		return
-	}
 	if f, ok := c.final.Get(call.ID); ok {
 		c.answer(call, AnswerUser{Status: 200, View: f.view(call.ID)}) // final states never change
 		return
 	}
-	if c.lead == nil && c.hint != "" && c.links[c.hint] {
+	if c.lead == nil && c.linked() {
 		c.forward(call)
 		return
 	}
@@ -123,15 +115,15 @@
 
 // withoutLeader serves what the state service alone can answer.
 func (c *Core) withoutLeader(call UserCall) {
-	if call.Op == OpCluster {
-		c.answer(call, AnswerUser{Status: 200, Doc: c.cluster()})
-		return
-	}
-	if call.Op == OpSubmit {
+	switch call.Op {
+	case OpGet:
+	case OpSubmit:
 		c.acceptAlone(call)
 		return
-	}
-	if call.Op != OpGet {
+	case OpCluster:
+		c.answer(call, AnswerUser{Status: 200, Doc: c.cluster()})
+		return
+	default:
 		c.answer(call, unavailable("no leader at present"))
 		return
 	}
@@ -278,6 +270,12 @@
 	})
 }
 
+// tooLong answers a submission whose record would not fit into a value.
+var tooLong = AnswerUser{Status: 400, Field: "flavors", Reason: "flavors: the description is too long"}
+
+// unheardOf is the condition that a job has neither a live nor a final record.
+func unheardOf(id string) []Cond { return []Cond{{jobKeys + id, 0}, {finalKeys + id, 0}} }
+
 // submit decides on a new job and answers once its record is committed.
 func (c *Core) submit(call UserCall) {
 	l := c.lead
@@ -288,7 +286,7 @@
 	s := call.Spec
 	if !c.fits(recordSize(s)) {
 		// Its record would not fit into a value, now or on any retry.
-		c.answer(call, AnswerUser{Status: 400, Field: "flavors", Reason: "flavors: the description is too long"})
+		c.answer(call, tooLong)
 		return
 	}
 	// A refusal must never meet a job that was accepted once, so the records
@@ -310,7 +308,7 @@
 	rec := &JobRecord{Spec: *s, Submitted: c.now.Round(0)}
 	l.pipe.add(&change{
 		size:   recordSize(s),
-		when:   []Cond{{jobKeys + s.ID, 0}, {finalKeys + s.ID, 0}},
+		when:   unheardOf(s.ID),
 		writes: []Write{{Key: jobKeys + s.ID, Value: rec}},
 		done: func(uint64) {
 			delete(l.accept, s.ID)
@@ -368,7 +366,7 @@
 
 // neverRuns says why a job can never run, or "".
 func (c *Core) neverRuns(s *JobSpec) string {
-	return c.neverRunsOn(s, c.lead.teams[s.Owner], c.lead.rent.flavors)
+	return neverRunsOn(s, c.lead.teams[s.Owner], c.lead.rent.flavors)
 }
 
 // teamNamed returns a team as the settings have it, or nil.
@@ -381,7 +379,8 @@
 	return nil
 }
 
-func (c *Core) neverRunsOn(s *JobSpec, t *team, flavors []Flavor) string {
+// neverRunsOn is neverRuns for its team, nil if there is none of that name, and types.
+func neverRunsOn(s *JobSpec, t *team, flavors []Flavor) string {
 	if t == nil || !t.configured {
 		return "unknown team " + s.Owner
 	}
--- a/internal/relay/fold.go
+++ b/internal/relay/fold.go
@@ -17,9 +17,11 @@
 	left            []uint64
 }
 
+// folded is what was last told of a machine.
 type folded struct {
 	handle uint64
-	last   report.Report
+	who    Who
+	tasks  []report.Task
 }
 
 // NewFold returns the relay's end of a new session, whose number must not have been
@@ -46,12 +48,13 @@
 		f.machines[r.Host] = m
 	}
 	it.Handle = m.handle
-	before := m.last.Tasks
-	if old := &m.last; old.Host != r.Host || old.Address != r.Address || old.Flavor != r.Flavor || old.Zone != r.Zone || old.Reclaimable != r.Reclaimable {
-		it.Machine = &Who{r.Host, r.Address, r.Flavor, r.Zone, r.Reclaimable}
-		before = nil
+	before := m.tasks
+	if who := (Who{r.Host, r.Address, r.Flavor, r.Zone, r.Reclaimable}); who != m.who {
+		m.who, before = who, nil
+		it.Machine = &Who{}
+		*it.Machine = who // which stays off the heap in the many reports that change nothing
 	}
-	m.last = *r
+	m.tasks = r.Tasks
 	at := 0 // so many of the new list are found in the old one, in its order
 	for i := range before {
 		b := &before[i]
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,6 +45,15 @@
 	Added   Tasks    `json:"a,omitempty"` // at the end
 }
 
+// headWeight is what a report or a reply weighs beside the tasks or orders in it.
+const headWeight = 4
+
+// Weight is about how much an item takes of a line, a task counting as 1.
+func (it *Item) Weight() int { return headWeight + len(it.Added) + len(it.Changed) + len(it.Dropped) }
+
+// Weight is about how much a reply takes of a line, an order counting as 1.
+func (r *Reply) Weight() int { return headWeight + len(r.Orders) }
+
 // Who is what a machine is.
 type Who struct {
 	Host        string `json:"host"`
@@ -63,8 +72,8 @@
 
 // Replies is what a leader has a relay tell its workers, in one line.
 type Replies struct {
-	Session uint64  `json:"s"`           // the relay's, which it answers
-	List    []Reply `json:"r,omitempty"` // empty: the leader is there
+	Session uint64  `json:"s"` // the relay's, which it answers
+	List    []Reply `json:"r,omitempty"`
 	Again   bool    `json:"a,omitempty"` // something is missing: begin a new session and tell all that waits
 }
 
--- a/internal/relay/spread.go
+++ b/internal/relay/spread.go
@@ -10,20 +10,26 @@
 	Most    int // that it can take
 }
 
+// load is how full a node is for workers in a zone. One in their own counts as half as
+// full: a cut between zones then takes no worker from its tasks that could have been
+// served inside.
+func (n *Node) load(zone string) int {
+	if n.Zone == zone {
+		return n.Workers
+	}
+	return 2 * n.Workers
+}
+
 // Spread says which of the nodes a worker in a zone should report to, the names
-// deciding between equals; "" when none has room. A node in the worker's own zone
-// counts as half as full: a cut between zones then takes no worker from its tasks
-// that could have been served inside.
+// deciding between equals; "" when none has room.
 func Spread(nodes []Node, zone string) string {
 	best, least := "", 0
 	for _, n := range nodes {
 		if n.Workers >= n.Most {
 			continue
 		}
-		load := 2 * (n.Workers + 1)
-		if n.Zone == zone {
-			load /= 2
-		}
+		n.Workers++ // with this one
+		load := n.load(zone)
 		if best == "" || load < least || load == least && n.Name < best {
 			best, least = n.Name, load
 		}
@@ -44,13 +50,7 @@
 	if a.Workers > a.Most && b.Workers < b.Most {
 		return true
 	}
-	x, y := 2*a.Workers, 2*b.Workers
-	if a.Zone == zone {
-		x /= 2
-	}
-	if b.Zone == zone {
-		y /= 2
-	}
+	x, y := a.load(zone), b.load(zone)
 	return x > y+y/4+16
 }
 
--- a/internal/relay/text.go
+++ b/internal/relay/text.go
@@ -22,19 +22,35 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (ts Tasks) MarshalText() ([]byte, error) {
-	b := make([]byte, 0, 40*len(ts))
-	for i := range ts {
-		t := &ts[i]
-		if i > 0 {
-			b = append(b, ',')
-		}
+	return write(ts, func(b []byte, t *report.Task) []byte {
 		b = appendTask(b, t.Task, t.Try)
 		b = append(b, ' ')
 		b = append(b, url.QueryEscape(string(t.Phase))...)
 		b = append(b, ' ')
-		b = append(b, url.QueryEscape(t.Cause)...)
+		return append(b, url.QueryEscape(t.Cause)...)
+	}), nil
+}
+
+// write writes a list, each of its members by one.
+func write[T any](list []T, one func(b []byte, x *T) []byte) []byte {
+	b := make([]byte, 0, 40*len(list))
+	for i := range list {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = one(b, &list[i])
 	}
-	return b, nil
+	return b
+}
+
+// read reads a list, each of its members by one.
+func read[T any](text []byte, one func(f *fields) T) ([]T, error) {
+	f := fields{rest: string(text)}
+	list := make([]T, 0, 1+strings.Count(f.rest, ","))
+	for f.more() {
+		list = append(list, one(&f))
+	}
+	return list, f.err
 }
 
 func appendTask(b []byte, id report.TaskID, try uint64) []byte {
@@ -47,17 +63,14 @@
 
 // UnmarshalText implements encoding.TextUnmarshaler. What it takes is a task by its
 // form; whether a phase is one is for whoever reads it.
-func (ts *Tasks) UnmarshalText(text []byte) error {
-	f := fields{rest: string(text)}
-	list := make(Tasks, 0, 1+strings.Count(f.rest, ","))
-	for f.more() {
+func (ts *Tasks) UnmarshalText(text []byte) (err error) {
+	*ts, err = read(text, func(f *fields) report.Task {
 		t := report.Task{Task: report.TaskID{Job: f.name(' '), Index: f.index(' ')}, Try: f.number(' ')}
 		t.Phase = report.Phase(f.name(' '))
 		t.Cause = f.name(',')
-		list = append(list, t)
-	}
-	*ts = list
-	return f.err
+		return t
+	})
+	return err
 }
 
 // Orders is a list of orders on the wire: "VERB JOB INDEX TRY DRAIN,…", the drain in
@@ -66,36 +79,27 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (os Orders) MarshalText() ([]byte, error) {
-	b := make([]byte, 0, 40*len(os))
-	for i := range os {
-		o := &os[i]
-		if i > 0 {
-			b = append(b, ',')
-		}
+	return write(os, func(b []byte, o *report.Order) []byte {
 		b = append(b, url.QueryEscape(string(o.Verb))...)
 		b = append(b, ' ')
 		b = appendTask(b, o.Task, o.Try)
 		b = append(b, ' ')
-		b = strconv.AppendInt(b, o.Drain.Milliseconds(), 10)
-	}
-	return b, nil
+		return strconv.AppendInt(b, o.Drain.Milliseconds(), 10)
+	}), nil
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
-func (os *Orders) UnmarshalText(text []byte) error {
-	f := fields{rest: string(text)}
-	list := make(Orders, 0, 1+strings.Count(f.rest, ","))
-	for f.more() {
+func (os *Orders) UnmarshalText(text []byte) (err error) {
+	*os, err = read(text, func(f *fields) report.Order {
 		o := report.Order{Verb: report.Verb(f.name(' ')), Task: report.TaskID{Job: f.name(' '), Index: f.index(' ')}, Try: f.number(' ')}
 		ms := f.number(',')
 		if ms > uint64(drainMost.Milliseconds()) {
 			f.err = errText
 		}
 		o.Drain = time.Duration(ms) * time.Millisecond
-		list = append(list, o)
-	}
-	*os = list
-	return f.err
+		return o
+	})
+	return err
 }
 
 // drainMost is far above any time that a task is given to save.
--- a/internal/scenario/orders_test.go
+++ b/internal/scenario/orders_test.go
@@ -34,13 +34,18 @@
 	orders int // how many orders there are: the same each time
 }
 
-const tiny = `
-seed 3
-nodes 2
+var tiny, relayed = few(3, 2), few(4, 3) + "team t\n"
+
+// few is a world of so many controllers and as many machines.
+func few(seed, n int) string {
+	return fmt.Sprintf(`
+seed %[1]d
+nodes %[2]d
 type s cpus=4 mem=16 rate=0.4 low=0.1 ready=2s fetch=10
-capacity s a n=2
-machines s a n=2
-`
+capacity s a n=%[2]d
+machines s a n=%[2]d
+`, seed, n)
+}
 
 var orderings = []ordering{
 	{
@@ -107,15 +112,6 @@
 	},
 }
 
-const relayed = `
-seed 4
-nodes 3
-type s cpus=4 mem=16 rate=0.4 low=0.1 ready=2s fetch=10
-capacity s a n=3
-machines s a n=3
-team t
-`
-
 // racing is one play of an ordering.
 type racing struct {
 	*script
