A reply looks at a few jobs that stand in a larger one's way, not at all of them

On a machine on which something larger waits for its slot, each reply went over the machine's timeline once for every small job in the queue: 120,000 looks a second, 0.7 ms of processor time a line of reports, the leader's whole share; submissions waited up to 5 s.

Change: what was found to stand in the way stands for all that take as much for as long, and after eight such finds the rest of the queue is left to later replies.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -490,6 +490,12 @@
 // couldStart reports whether a task of the job may start now wherever it fits.
 func (c *Core) couldStart(j *job) bool { return c.mayStart(j) && j.team.room(j.need, 1) > 0 }
 
+// barredMost is how many jobs one reply finds in the way of something larger before it
+// leaves the rest of the queue to later ones. Each look goes over the machine's timeline:
+// with hundreds of small jobs waiting on full machines (a guest's many single tasks) that
+// took most of a leader's processor share, and users' calls waited for seconds.
+const barredMost = 8
+
 // startsMost is how many tasks one reply starts at the most, or a few more.
 const startsMost = 256
 
@@ -504,6 +510,7 @@
 	}
 	var os []Order
 	blocked := false
+	var barred []timeline.Booking // what has been found to stand in its way
 	// What lies within a team's guarantee goes first: borrowing is for what is
 	// left unused.
 	for borrowing, i := !l.guarantees, 0; room.CPU > 0 && len(os) < startsMost; {
@@ -538,13 +545,23 @@
 		if blocked {
 			// Something larger waits here for its slot: start only what does
 			// not stand in its way.
+			d := c.length(j, m)
+			if b.m != m && slices.ContainsFunc(barred, func(x timeline.Booking) bool { return x.Need.Fits(j.need) && !x.End.After(c.now.Add(d)) }) {
+				continue // more, or for longer, than what did
+			}
 			if b.m == m {
 				m.tl.Remove(&b.Booking)
 			}
-			n = m.tl.Count(c.now, c.length(j, m), j.need, n)
+			n = m.tl.Count(c.now, d, j.need, n)
 			if b.m == m {
 				m.tl.Add(&b.Booking)
 			}
+			if n == 0 {
+				if barred = append(barred, timeline.Booking{Need: j.need, End: c.now.Add(d)}); len(barred) >= barredMost {
+					break
+				}
+				continue
+			}
 		}
 		if n = j.team.room(j.need, n); n == 0 {
 			j.team.short = true
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -73,3 +73,44 @@
 		t.Errorf("%d tasks still wait", j.waiting)
 	}
 }
+
+// TestManySmallBehindLarge: a reply must not go over the machine's timeline once for each
+// of hundreds of small jobs that stand in the way of something larger.
+func TestManySmallBehindLarge(t *testing.T) {
+	cost := func(small int) time.Duration {
+		rng := rand.New(rand.NewPCG(1, 2))
+		c := leaderOf(t, 3)
+		m := c.lead.fleet[2]
+		c.fill(m)
+		for _, r := range m.runs[:4] {
+			c.vacate(r) // four CPUs are free, and the large job takes all
+		}
+		for _, x := range c.lead.fleet[:2] {
+			x.condemned = true
+		}
+		add := func(i int, cpus float64, submitted time.Duration) {
+			j := newJob(c, i, 1, rng)
+			j.spec.CPUs, j.spec.Dated, j.spec.Class, j.spec.Image, j.spec.Runtime = cpus, false, "x", "img0", time.Hour
+			j.need, j.submitted, j.any = j.spec.Need(), t0.Add(submitted), true
+			c.book(j)
+		}
+		m.images.Add("img0", struct{}{})
+		c.now = t0
+		add(1, 32, -time.Minute)
+		for i := range small {
+			add(100+i, 1+float64(i%7)/10, time.Duration(i)*time.Millisecond)
+		}
+		best := time.Hour
+		for range 20 {
+			began := time.Now()
+			c.startOn(m)
+			best = min(best, time.Since(began))
+		}
+		return best
+	}
+	if few, many := cost(20), cost(400); many > 60*few {
+		t.Errorf("a reply takes %v with 20 small jobs in the queue, %v with 400", few, many)
+	} else {
+		t.Log(few, many)
+	}
+}
