A zone that is lost is one trouble: its machines are kept, nothing is rented there

Change: internal/zones (pure) tells a lost zone from lost machines, with hysteresis; the core books nothing there, rents elsewhere, keeps the machines for zone_keep_s and gives them back one after the other. A job pinned to a lost zone no longer keeps others from renting. Late jobs go small ones first while machines are scarce.

--- a/cmd/yewpass/cluster.go
+++ b/cmd/yewpass/cluster.go
@@ -64,5 +64,12 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%s\n", n.Name, n.Zone, n.Role, n.Link, n.Workers, lag)
 	}
+	if len(v.Zones) > 0 {
+		fmt.Fprintln(w, "\nZONE\tSTATE\tFOR\tHEARD\tSILENT\tTASKS AWAITING PROOF")
+	}
+	for _, z := range v.Zones {
+		since := time.Duration(z.SinceS * float64(time.Second)).Round(time.Second)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\n", z.Name, z.State, since, z.Heard, z.Silent, z.Unknown)
+	}
 	w.Flush()
 }
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -150,6 +150,7 @@
 	Status  core.JobState `json:"status"`
 	Done    int           `json:"done"`
 	Running int           `json:"running"`
+	Reason  string        `json:"reason,omitempty"` // what the job waits for, where that is known
 }
 
 var (
@@ -182,7 +183,7 @@
 		if call.Schedule != nil {
 			call.ID = a.View.ID // the job that a request to run has made
 		}
-		write(w, a.Status, viewJSON{call.ID, a.View.State, a.View.Done, a.View.Running})
+		write(w, a.Status, viewJSON{call.ID, a.View.State, a.View.Done, a.View.Running, a.Reason})
 	case <-t.C:
 		s.inbox <- Gone{reply}
 		fail(w, http.StatusServiceUnavailable, "", "the service is behind", time.Second)
--- a/internal/core/cluster.go
+++ b/internal/core/cluster.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"yewpass/internal/zones"
 )
 
 // Cluster is what a node knows of the controllers. Numbers of machines are the
@@ -18,6 +20,17 @@
 	Unaccounted int           `json:"machinesUnaccounted"` //
 	MachineMost int           `json:"machinesMost"`        // that the controllers can serve
 	Nodes       []ClusterNode `json:"nodes"`
+	Zones       []ClusterZone `json:"zones,omitempty"` // told by the leader alone
+}
+
+// ClusterZone is a zone of machines.
+type ClusterZone struct {
+	Name    string  `json:"name"`
+	State   string  `json:"state"`        // up, doubtful, lost, returning
+	SinceS  float64 `json:"stateSeconds"` // how long it has been in it
+	Heard   int     `json:"machinesHeard"`
+	Silent  int     `json:"machinesSilent"`
+	Unknown int     `json:"tasksAwaitingProof"` // on its silent machines, until they are proven over
 }
 
 // ClusterNode is one controller.
@@ -39,6 +52,7 @@
 		v.Leader, v.Term, v.LeadsS, v.Authority = c.cfg.HostName, l.term, c.now.Sub(l.since).Seconds(), c.leads()
 		v.TookOver, v.Machines, v.Unaccounted, v.MachineMost = l.loaded && l.settled(), len(l.fleet), len(l.owed), c.fleetMost()
 		own.Role, own.Workers = "leader", l.relay("").workers
+		v.Zones = c.clusterZones()
 	} else if !c.linked() {
 		own.Role = "away"
 	}
@@ -65,6 +79,26 @@
 	return v
 }
 
+func (c *Core) clusterZones() []ClusterZone {
+	l := c.lead
+	waiting := map[*zones.Zone]int{}
+	for _, m := range l.fleet {
+		if m.away {
+			for _, r := range m.runs {
+				if r.holds {
+					waiting[m.in]++
+				}
+			}
+		}
+	}
+	var zs []ClusterZone
+	for _, z := range l.zones.All() {
+		zs = append(zs, ClusterZone{Name: z.Name, State: z.State.String(), SinceS: c.now.Sub(z.Since).Seconds(),
+			Heard: z.Sight.Heard, Silent: z.Sight.Silent, Unknown: waiting[z]})
+	}
+	return zs
+}
+
 // serveCluster answers what operators ask of the controllers, as the leader.
 func (c *Core) serveCluster(call UserCall) {
 	if call.Op == OpCluster {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -12,23 +12,27 @@
 
 	"yewpass/internal/relay"
 	"yewpass/internal/topology"
+	"yewpass/internal/zones"
 )
 
 // leadership is everything that only a leader has. Stepping down drops it whole.
 type leadership struct {
-	term    uint64
-	termRev uint64 // every write is conditional on it: a late one fails under a successor
-	grant   uint64
-	until   time.Time     // authority ends here unless a renewal succeeds
-	since   time.Time     // elected
-	ahead   time.Duration // of the time of day, when the last good renewal was sent
-	acked   map[string]bool
-	ackedAt time.Time // when the last peer had taken note of our term
-	held    bool      // out of authority, answering reports only
-	loaded  bool      // the records have been read
+	term       uint64
+	termRev    uint64 // every write is conditional on it: a late one fails under a successor
+	grant      uint64
+	until      time.Time     // authority ends here unless a renewal succeeds
+	since      time.Time     // elected
+	ahead      time.Duration // of the time of day, when the last good renewal was sent
+	acked      map[string]bool
+	ackedAt    time.Time // when the last peer had taken note of our term
+	held       bool      // out of authority, answering reports only
+	quietSince time.Time // before this, most machines were heard
+	regained   time.Time // when authority last came back
+	loaded     bool      // the records have been read
 
 	waiting []ReportIn // reports that came while loading
 
+	zones      *zones.Watch
 	places     *topology.Tree
 	tally      *topology.Tally // tasks of jobs with rules on places
 	pipe       pipeline
@@ -272,6 +276,7 @@
 		tally: topology.NewTally(),
 		sched: newSchedules(),
 	}
+	c.lead.zones = zones.New(c.zoneSettings())
 	c.lead.places, _ = topology.New(topology.Definition{}) // zones alone: cannot fail
 	for _, t := range c.cfg.Settings.Teams {
 		c.lead.teams[t.Name] = newTeam(t)
@@ -334,7 +339,7 @@
 				l.until, l.ahead = u, ahead
 			}
 			if l.held && c.leads() {
-				l.held = false
+				l.held, l.regained = false, c.now
 				l.dirty = true
 				c.note(slog.LevelInfo, "authority regained", "term", l.term)
 			}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -10,6 +10,7 @@
 
 	"yewpass/internal/timeline"
 	"yewpass/internal/topology"
+	"yewpass/internal/zones"
 )
 
 // run is one attempt of a task on a machine: from the order to start it until
@@ -63,6 +64,7 @@
 	host, flavorName, zone string
 	address                string
 	leaf                   *topology.Place // where it stands
+	in                     *zones.Zone     // and how that zone is
 	flavor                 *Flavor         // nil while the catalog is unknown
 	reclaimable            bool
 	record                 recordState // a successor must know of it before it may hold tasks
@@ -96,6 +98,7 @@
 	draining  bool // its work fits elsewhere: no new tasks, then it goes back
 	condemned bool
 	lost      bool      // its lease is over and it has not reported since
+	away      bool      // silent, in a zone that seems to be cut off
 	leaving   time.Time // the cloud takes it away
 	retryAt   time.Time // after a refused start
 	strikes   int
@@ -110,6 +113,7 @@
 		m = &machine{host: host, flavorName: flavor, zone: zone, reclaimable: reclaimable,
 			since: c.now, rentedAt: c.now, idle: c.now, images: newImages(), tl: timeline.New(timeline.Resources{})}
 		m.leaf, _ = l.places.Machine(host, "", zone)
+		m.in = l.zones.Zone(zone)
 		l.machines[host] = m
 		l.fleet = slices.Insert(l.fleet, l.place(host), m)
 		c.setFlavor(m)
@@ -137,7 +141,7 @@
 
 // usable reports whether new tasks may be booked on the machine.
 func (m *machine) usable() bool {
-	return m.flavor != nil && !m.releasing && !m.draining && !m.condemned && !m.lost && m.leaving.IsZero()
+	return m.flavor != nil && !m.releasing && !m.draining && !m.condemned && !m.lost && !m.away && m.leaving.IsZero()
 }
 
 func (m *machine) room() timeline.Resources {
@@ -279,7 +283,7 @@
 		}
 	}
 	m.reported, m.tenure, m.counter, m.epoch = true, rep.Tenure, rep.Counter, rep.Epoch
-	m.seen, m.lost = c.now, false
+	m.seen, m.lost, m.away = c.now, false, false
 	if rep.HasNotice {
 		if m.leaving.IsZero() {
 			c.note(slog.LevelInfo, "machine will be taken", "machine", m.host, "notice", rep.Notice)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -16,7 +16,7 @@
 	timeline.Booking
 	job  *job
 	m    *machine
-	late bool // its slot was found by earliest fit
+	back time.Duration // by how much it stands back in the queue
 }
 
 // lateYield is by how much a booking that misses its deadline anyway stands
@@ -24,12 +24,7 @@
 const lateYield = 90 * time.Second
 
 // turn is the booking's place in the queue.
-func (b *booking) turn() time.Time {
-	if b.late {
-		return b.Start.Add(lateYield)
-	}
-	return b.Start
-}
+func (b *booking) turn() time.Time { return b.Start.Add(b.back) }
 
 // waitQueue is the jobs that have bookings, each at the turn of its first one,
 // then by submission. Going through it while every job moves on to its next
@@ -307,8 +302,11 @@
 		}
 		o := &offers.list[0]
 		k := max(o.m.tl.Count(o.start, o.length, j.need, n), 1)
-		late := !dated && c.yields(j, o.length)
-		c.addBooking(&booking{timeline.Booking{Start: o.start, End: o.start.Add(o.length), Need: j.need, Count: k}, j, o.m, late})
+		back := time.Duration(0)
+		if !dated && c.yields(j, o.length) {
+			back = c.standsBack(j, o.start)
+		}
+		c.addBooking(&booking{timeline.Booking{Start: o.start, End: o.start.Add(o.length), Need: j.need, Count: k}, j, o.m, back})
 		if at, ok := c.slot(j, o.m, o.length, a.by, dated); ok {
 			o.start = at
 			heap.Fix(offers, 0)
@@ -322,7 +320,7 @@
 		if dated {
 			at = a.by.Add(-base)
 		}
-		c.addBooking(&booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, false})
+		c.addBooking(&booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, 0})
 	}
 }
 
@@ -334,6 +332,29 @@
 	return ok
 }
 
+const (
+	// scarceBacklog is how much work must wait, in seconds of all CPUs at hand, for the
+	// machines to count as scarce: after the loss of a zone, say.
+	scarceBacklog = 150 * time.Second
+	// scarceWeight is by how many times its own length on all CPUs at hand a job that is
+	// late anyway then stands back.
+	scarceWeight = 40
+)
+
+// standsBack is by how much a task that has no aim left, and could start at a time,
+// stands back in the queue. While machines are scarce those jobs go before others that
+// need the least: most of them are then served, and what is begun is finished before more
+// is. Each going on a little, hardly any would end. Whatever has an aim to meet goes
+// before them all, and a job's turn comes nearer as it waits, so that none starves.
+func (c *Core) standsBack(j *job, start time.Time) time.Duration {
+	rent := &c.lead.rent
+	if rent.backlog < scarceBacklog || rent.cpus <= 0 {
+		return lateYield
+	}
+	work := float64(j.waiting) * float64(j.need.CPU) / 1000 * c.estimate(j).Seconds()
+	return lateYield + timeline.Seconds(scarceWeight*work/rent.cpus) - start.Sub(c.now)
+}
+
 // addBooking adds a booking, in the order of the job's others; the job's place
 // in the queue is for the caller to see to.
 func (c *Core) addBooking(b *booking) {
@@ -505,7 +526,7 @@
 func (c *Core) startOn(m *machine) []Order {
 	l := c.lead
 	room := m.room()
-	if room.CPU <= 0 || len(l.queue) == 0 || !c.acts() || !m.reported || m.record != recorded || !m.usable() || c.now.Before(m.retryAt) || l.owed[m.host] || l.tries > maxTries-startsMost {
+	if room.CPU <= 0 || len(l.queue) == 0 || !c.acts() || !m.reported || m.record != recorded || !m.usable() || !m.in.Takes() || c.now.Before(m.retryAt) || l.owed[m.host] || l.tries > maxTries-startsMost {
 		return nil
 	}
 	var os []Order
--- a/internal/core/relays.go
+++ b/internal/core/relays.go
@@ -320,7 +320,8 @@
 type relayPeer struct {
 	unfold  relay.Unfold
 	heard   time.Time
-	workers int // that report to it
+	quiet   time.Time // when it was last found to say nothing
+	workers int       // that report to it
 	replies []relay.Reply
 	weight  int // of them
 }
@@ -456,6 +457,29 @@
 	return l.nodes
 }
 
+// workerGivesUp is how long a worker waits for an answer, and until it asks the next
+// node: it may have sent its report to a relay that had just gone quiet.
+const workerGivesUp = 4*time.Second + time.Second
+
+// hearRelays notes which relays say nothing. A worker of theirs is not silent by itself:
+// it finds out when its next report has had no answer for long, and goes elsewhere then.
+// Returned before that it would have lost its tasks for nothing.
+func (c *Core) hearRelays() {
+	for _, s := range c.cfg.Seeds {
+		if p := c.lead.relays[s.HostName]; p != nil && c.now.Sub(p.heard) > 3*relayBeat {
+			p.quiet = c.now
+		}
+	}
+}
+
+// patience is how long the machine may be silent, given how long one may be.
+func (c *Core) patience(m *machine, silent time.Duration) time.Duration {
+	if m.home != nil && m.home.quiet.After(m.seen) {
+		return max(silent, c.report*5/4+workerGivesUp+time.Second)
+	}
+	return silent
+}
+
 // takesWorkers reports whether workers can report to us by a relay now.
 func (c *Core) takesWorkers(name string, p *relayPeer) bool {
 	return p != nil && c.links[name] && p.unfold.Session() != 0 && c.now.Sub(p.heard) < relayQuiet
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -30,6 +30,7 @@
 	wanted   map[string]*rental  // requests whose outcome is not known
 	count    uint64              // names never repeat: term and this
 	backlog  time.Duration
+	cpus     float64 // at hand or on their way
 	burst    float64 // CPUs that a job takes which must start at once
 	burstAt  time.Time
 	patience map[string]float64 // by type, how much longer than usual boots take at present
@@ -222,6 +223,10 @@
 	c.unrecord(m)
 }
 
+// cutOffMost is for how many leases we take ourselves to be cut off rather than most of
+// the machines to be gone.
+const cutOffMost = 2
+
 // housekeep does what the passing of time asks for.
 func (c *Core) housekeep() {
 	l := c.lead
@@ -234,10 +239,12 @@
 	if !c.acts() {
 		return
 	}
+	c.hearRelays()
+	c.lookAtZones()
 	// When most machines fall silent at once, it is rather we who are cut off.
 	quiet, reporting := 0, 0
 	for _, m := range l.fleet {
-		if m.reported {
+		if m.reported && !m.away {
 			reporting++
 			if c.now.Sub(m.seen) > silent {
 				quiet++
@@ -249,6 +256,13 @@
 		takeover = secs(c.pol.TakeoverRelease(e))
 	}
 	cutOff := quiet > 2 && 2*quiet > reporting
+	if !cutOff {
+		l.quietSince = c.now
+	} else if c.now.Sub(l.quietSince) > cutOffMost*c.lease {
+		// Machines that are no more, of which a late report has told, must not stand in
+		// the way of all others for ever: they count as room, and nothing is rented.
+		cutOff = false
+	}
 	for _, m := range slices.Clone(l.fleet) {
 		c.review(m, silent, takeover, idle, cutOff)
 	}
@@ -286,11 +300,13 @@
 		// Its notice has run out: a report that is a little overdue says enough.
 		silent = min(silent, c.report*3/4)
 	}
-	last := m.seen
+	// A zone that returns does so over a report interval, and so do those who have tried
+	// in vain while we had no authority.
+	last := maxTime(m.seen, maxTime(m.in.Since, l.regained))
 	if !m.reported {
 		last = maxTime(m.seen, maxTime(m.since, l.since))
 	}
-	wait := silent
+	wait := c.patience(m, silent)
 	booting := m.seen.IsZero() && !l.owed[m.host]
 	if booting {
 		// Some machines take several times as long, a few never come up.
@@ -307,9 +323,11 @@
 		}
 	}
 	switch {
+	case m.away && !l.owed[m.host] && (!booting || c.now.Sub(last) <= 2*wait):
+		// Its zone is cut off: see giveBackZones.
 	case c.now.Sub(last) > wait && (!cutOff || booting):
 		c.note(slog.LevelWarn, "machine silent, releasing it", "machine", m.host, "type", m.flavorName, "silent", c.now.Sub(last), "tasks", len(m.runs), "booted", !booting)
-		if booting {
+		if booting && !m.away {
 			// When boots take longer than that for a while, giving up each time
 			// would never get a machine.
 			l.rent.patience[m.flavorName] = min(max(l.rent.patience[m.flavorName], 1)*1.25, 6)
@@ -557,7 +575,7 @@
 		}
 	}
 	total, _ := c.supply(false)
-	l.rent.backlog = timeline.Seconds(work / max(total, 1))
+	l.rent.backlog, l.rent.cpus = timeline.Seconds(work/max(total, 1)), total
 	return cpus, work, ordinaryCPUs, ordinaryWork
 }
 
@@ -573,7 +591,10 @@
 		if j.books[0].m != nil || j.halted() || slices.ContainsFunc(l.fleet, func(m *machine) bool { return m.eligible(j) }) {
 			continue
 		}
-		if !c.rentFor(&j.spec, float64(min(j.waiting, 8))*j.spec.CPUs, true) {
+		if j.spec.Zone != "" && !l.zones.Zone(j.spec.Zone).Rents() {
+			continue // it waits for its zone, and nobody else for it
+		}
+		if !c.rentFor(&j.spec, float64(min(j.waiting, 8))*j.spec.CPUs, true, false) {
 			return
 		}
 		break
@@ -593,7 +614,7 @@
 	}
 	for short > 0.5 {
 		any := &JobSpec{Reclaimable: !ordinary}
-		got := c.rentFor(any, short, work/max(total, 1) > ordinaryBar.Seconds())
+		got := c.rentFor(any, short, work/max(total, 1) > ordinaryBar.Seconds(), false)
 		if !got {
 			return
 		}
@@ -607,8 +628,8 @@
 }
 
 // rentFor sends one request for machines that suit the job; false if none could
-// be sent.
-func (c *Core) rentFor(s *JobSpec, cpus float64, pressing bool) bool {
+// be sent. Nothing is rented in a zone that is cut off, but as a probe.
+func (c *Core) rentFor(s *JobSpec, cpus float64, pressing, probe bool) bool {
 	l := c.lead
 	room := c.fleetMost() - len(l.fleet) - l.rent.asked()
 	if l.rent.full != (room <= 0) {
@@ -641,7 +662,7 @@
 			continue
 		}
 		for _, z := range f.Zones {
-			if s.Zone != "" && s.Zone != z {
+			if s.Zone != "" && s.Zone != z || !probe && !l.zones.Zone(z).Rents() {
 				continue
 			}
 			for _, low := range []bool{true, false} {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -68,6 +68,7 @@
 	base := c.stretched(j)
 	a, dated := c.aim(j, base)
 	for n := min(j.waiting, window) - j.booked; n > 0; n = min(j.waiting, window) - j.booked {
+		back := time.Duration(0)
 		var best *machine
 		var start time.Time
 		var length time.Duration
@@ -93,7 +94,10 @@
 			return
 		}
 		k := max(best.tl.Count(start, length, j.need, n), 1)
-		c.addBooking(&booking{Booking: timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, job: j, m: best, late: !dated && c.yields(j, length)})
+		if !dated && c.yields(j, length) {
+			back = c.standsBack(j, start)
+		}
+		c.addBooking(&booking{Booking: timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, job: j, m: best, back: back})
 		c.lead.queue.place(j)
 	}
 }
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -2,15 +2,16 @@
 
 // Stats is what the metrics page shows of the core.
 type Stats struct {
-	Leads, Authority       bool
-	Term                   uint64
-	Jobs, Waiting, Running int     // jobs not over; their tasks
-	Machines, Reporting    int     // known; reporting
-	CPUs, CPUsUsed         float64 // of the reporting ones
-	Unaccounted            int     // machines that may hold an earlier term's tasks
-	BacklogSeconds         float64
-	Direct, Relays, Passed int  // machines that report to the leader itself; nodes that take others for it; workers that report here to be passed on
-	Full                   bool // no more machines are rented: the controllers could not serve them
+	Leads, Authority        bool
+	Term                    uint64
+	Jobs, Waiting, Running  int     // jobs not over; their tasks
+	Machines, Reporting     int     // known; reporting
+	CPUs, CPUsUsed          float64 // of the reporting ones
+	Unaccounted             int     // machines that may hold an earlier term's tasks
+	BacklogSeconds          float64
+	Direct, Relays, Passed  int  // machines that report to the leader itself; nodes that take others for it; workers that report here to be passed on
+	ZonesAway, MachinesAway int  // zones that are doubtful or lost; silent machines there
+	Full                    bool // no more machines are rented: the controllers could not serve them
 
 	Schedules                                           int   // read by this leader
 	OccurrencesMade, OccurrencesMissed, OccurrencesLate int64 // by this leader
@@ -32,7 +33,15 @@
 		s.Waiting += j.waiting
 		s.Running += len(j.runs)
 	}
+	for _, z := range l.zones.All() {
+		if z.Away() {
+			s.ZonesAway++
+		}
+	}
 	for _, m := range l.fleet {
+		if m.away {
+			s.MachinesAway++
+		}
 		if m.reported {
 			s.Reporting++
 			s.CPUs += float64(m.tl.Capacity().CPU) / 1000
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -206,7 +206,7 @@
 			c.cancel(j, call)
 			return
 		}
-		c.answer(call, AnswerUser{Status: 200, View: j.view()})
+		c.answer(call, AnswerUser{Status: 200, View: j.view(), Reason: c.waitsFor(j)})
 		return
 	}
 	if f, ok := c.final.Get(call.ID); ok {
--- /dev/null
+++ b/internal/core/zones.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"yewpass/internal/timeline"
+	"yewpass/internal/zones"
+)
+
+// probeZoneEvery is how often one machine is rented in a lost zone that has none left.
+const probeZoneEvery = time.Minute
+
+// zoneUnheard is after how long in a term a machine of an earlier one counts as silent:
+// its relay, and a probe, would have told of it by then.
+const zoneUnheard = 2500 * time.Millisecond
+
+// zoneSettings are the times that verdicts on zones rest on. What ran in a zone is over
+// once the lease is, whatever happens inside.
+func (c *Core) zoneSettings() zones.Settings {
+	return zones.Settings{
+		LostAfter: withDrift(c.lease), Steady: 2 * c.report, Probe: probeZoneEvery,
+		Keep: timeline.Seconds(c.pol.ZoneKeep(c.policyEnv())),
+	}
+}
+
+// quietAfter is how long a machine that is well may go without a report: the longest
+// interval, and some of the way.
+func (c *Core) quietAfter() time.Duration { return c.report * 3 / 2 }
+
+// lookAtZones tells zones that are cut off from machines that are, and leaves the
+// machines of such a zone alone: nothing is booked on them or counted on, and they are
+// not returned for being silent.
+func (c *Core) lookAtZones() {
+	l := c.lead
+	quiet := c.quietAfter()
+	sights := map[string]zones.Sight{}
+	for _, m := range l.fleet {
+		if m.releasing || !m.leaving.IsZero() || !m.reported && !m.lost && !l.owed[m.host] {
+			continue // on its way out, or not up yet
+		}
+		s := sights[m.zone]
+		if m.reported && c.now.Sub(maxTime(m.seen, l.regained)) <= quiet || !m.reported && !m.lost && c.now.Sub(l.since) <= min(quiet, zoneUnheard) {
+			s.Heard++
+		} else {
+			s.Silent++
+		}
+		sights[m.zone] = s
+	}
+	for _, x := range l.zones.Look(c.now, sights) {
+		z := x.Zone
+		level := slog.LevelWarn
+		if x.To == zones.Up || x.To == zones.Returning {
+			level = slog.LevelInfo
+		}
+		c.note(level, "zone "+x.To.String(), "zone", z.Name, "before", x.From.String(), "after", x.After, "heard", z.Sight.Heard, "silent", z.Sight.Silent)
+		l.dirty = true
+	}
+	for _, m := range l.fleet {
+		switch {
+		case !m.in.Away():
+			m.away = false
+		case m.away || m.releasing || m.reported && c.now.Sub(maxTime(m.seen, l.regained)) <= quiet:
+		default:
+			m.away = true
+			c.unbookMachine(m)
+		}
+	}
+	c.giveBackZones()
+}
+
+// giveBackZones returns machines of lost zones, the dearest first, as far as they are not
+// to be kept any longer.
+func (c *Core) giveBackZones() {
+	l := c.lead
+	for _, z := range l.zones.All() {
+		if z.Probe(c.now) {
+			c.note(slog.LevelInfo, "a machine is rented to see whether the zone is back", "zone", z.Name)
+			c.rentFor(&JobSpec{Zone: z.Name, Reclaimable: true}, 0, true, true)
+		}
+		n := z.Sight.Silent - z.Kept(c.now)
+		if !z.Away() || n <= 0 {
+			continue
+		}
+		var silent []*machine
+		for _, m := range l.fleet {
+			if m.in == z && m.away && !m.releasing && !m.seen.IsZero() && m.flavor != nil {
+				silent = append(silent, m)
+			}
+		}
+		slices.SortStableFunc(silent, func(a, b *machine) int { return cmp.Compare(b.perCPU(), a.perCPU()) })
+		for _, m := range silent[:min(n, len(silent))] {
+			c.note(slog.LevelInfo, "machine of a lost zone, returning it", "machine", m.host, "zone", z.Name, "silent", c.now.Sub(m.seen))
+			c.release(m)
+		}
+	}
+}
+
+// waitsFor says what keeps a job's tasks waiting that may run in one zone only, or "".
+func (c *Core) waitsFor(j *job) string {
+	if j.spec.Zone == "" || j.waiting == 0 {
+		return ""
+	}
+	if z := c.lead.zones.Zone(j.spec.Zone); z.Away() {
+		return "zone " + z.Name + " is " + z.State.String() + ", tasks wait for it"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/zones_test.go
@@ -0,0 +1,102 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"yewpass/internal/zones"
+)
+
+// twoZones returns a leader with n machines in each of zones a and b.
+func twoZones(t *testing.T, n int) *Core {
+	c := leaderOf(t, n)
+	c.lead.rent.flavors[0].Zones = []string{"a", "b"}
+	for i := range n {
+		m := c.machine(fmt.Sprintf("host-1%05d", i), "f0", "b", true)
+		m.reported, m.record, m.tenure, m.epoch, m.seen = true, recorded, 1, 1, t0
+	}
+	return c
+}
+
+// silence lets time pass in which only machines of zone b report.
+func silence(c *Core, d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(500 * time.Millisecond)
+		for _, m := range c.lead.fleet {
+			if m.zone == "b" {
+				m.seen = c.now
+			}
+		}
+		c.housekeep()
+	}
+}
+
+func rentals(c *Core) (zs []string) {
+	for _, o := range c.out {
+		if x, ok := o.(CloudCall); ok && x.Op == CloudRent {
+			zs = append(zs, x.Zone)
+		}
+	}
+	return zs
+}
+
+// TestLostZone: nothing is booked on, or rented for, or returned from a zone that is cut
+// off; whoever may run only there is told so, and does not keep others from renting.
+func TestLostZone(t *testing.T) {
+	c := twoZones(t, 12)
+	rng := rand.New(rand.NewPCG(1, 2))
+	pinned := newJob(c, 1, 50, rng)
+	pinned.spec.Zone = "a"
+	c.book(pinned)
+	silence(c, 15*time.Second)
+	if z := c.lead.zones.Zone("a"); z.State != zones.Doubtful {
+		t.Fatal("the zone is", z.State)
+	}
+	for _, m := range c.lead.fleet {
+		if m.zone == "a" && (m.releasing || m.usable() || len(m.books) > 0) {
+			t.Fatalf("%s: released %v, usable %v, %d bookings", m.host, m.releasing, m.usable(), len(m.books))
+		}
+	}
+	if r := c.waitsFor(pinned); !strings.Contains(r, "zone a is doubtful") {
+		t.Errorf("its user is told %q", r)
+	}
+	c.out = nil
+	other := newJob(c, 2, 20000, rng)
+	other.spec.Runtime, other.spec.Dated = time.Hour, false
+	c.book(other)
+	silence(c, 30*time.Second)
+	if zs := rentals(c); len(zs) == 0 {
+		t.Error("a job that waits for the zone keeps others from renting")
+	} else if strings.Contains(strings.Join(zs, ""), "a") {
+		t.Error("rented in the lost zone:", zs)
+	}
+	for _, z := range c.cluster().Zones {
+		if z.Name == "a" && (z.State != "lost" || z.Silent != 12) {
+			t.Errorf("%+v", z)
+		}
+	}
+}
+
+// TestQuietRelay: a worker whose relay went quiet has to find that out first, by a report
+// without an answer, before it can be heard by another.
+func TestQuietRelay(t *testing.T) {
+	c := twoZones(t, 12)
+	p := c.lead.relay("n1")
+	m := c.lead.fleet[0]
+	m.home, p.heard = p, t0
+	silent := 10 * time.Second
+	if d := c.patience(m, silent); d != silent {
+		t.Errorf("%v with a relay in order", d)
+	}
+	p.quiet = t0.Add(time.Second)
+	if d := c.patience(m, silent); d < c.report*5/4+5*time.Second {
+		t.Errorf("%v with a quiet one", d)
+	}
+	m.seen = t0.Add(2 * time.Second)
+	if d := c.patience(m, silent); d != silent {
+		t.Errorf("%v once it has found another way", d)
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -36,6 +36,8 @@
 		"yewpass_workers_direct":       func(s *core.Stats) float64 { return float64(s.Direct) },
 		"yewpass_workers_passed_on":    func(s *core.Stats) float64 { return float64(s.Passed) },
 		"yewpass_relays":               func(s *core.Stats) float64 { return float64(s.Relays) },
+		"yewpass_zones_away":           func(s *core.Stats) float64 { return float64(s.ZonesAway) },
+		"yewpass_machines_away":        func(s *core.Stats) float64 { return float64(s.MachinesAway) },
 		"yewpass_fleet_full":           func(s *core.Stats) float64 { return flag(s.Full) },
 		"yewpass_schedules":            func(s *core.Stats) float64 { return float64(s.Schedules) },
 		"yewpass_occurrences_made":     func(s *core.Stats) float64 { return float64(s.OccurrencesMade) },
--- a/internal/scenario/clock.go
+++ b/internal/scenario/clock.go
@@ -92,6 +92,7 @@
 	hosts map[string]bool
 	only  map[string]bool // when set, only from these
 	hold  bool
+	zone  string // whose machines it parts, new ones as well
 	held  []func()
 }
 
@@ -137,9 +138,18 @@
 	n.at(at, f)
 }
 
+// joins puts a new host behind the cuts of its zone.
+func (n *network) joins(host, zone string) {
+	for _, c := range n.cuts {
+		if c.zone == zone {
+			c.hosts[host] = true
+		}
+	}
+}
+
 // split begins a cut that ends after d.
-func (n *network) split(hosts, only map[string]bool, hold bool, d time.Duration) {
-	c := &cut{hosts: hosts, only: only, hold: hold}
+func (n *network) split(hosts, only map[string]bool, hold bool, d time.Duration, zone string) {
+	c := &cut{hosts: hosts, only: only, hold: hold, zone: zone}
 	n.cuts = append(n.cuts, c)
 	n.after(d, func() {
 		for i, x := range n.cuts {
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -56,6 +56,7 @@
 	c.made++
 	c.machines = append(c.machines, m)
 	c.w.workers[m.host] = m
+	c.w.net.joins(m.host, m.zone)
 	if ready >= 0 {
 		c.after(ready, m.boot)
 	}
--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -41,7 +41,7 @@
 	l := f.leader()
 	f.with(func() {
 		ms := f.script.busiest(1)
-		f.net.split(map[string]bool{ms[0].host: true}, nil, true, 20*time.Second)
+		f.net.split(map[string]bool{ms[0].host: true}, nil, true, 20*time.Second, "")
 	})
 	l.kill()
 	f.until("the jobs are done", told(core.Done, j, k))
@@ -342,7 +342,7 @@
 				cut = m.host
 			}
 		}
-		f.net.split(map[string]bool{cut: true}, nil, true, 9*time.Second)
+		f.net.split(map[string]bool{cut: true}, nil, true, 9*time.Second, "")
 	})
 	var job map[string]any
 	json.Unmarshal(submission(&j.spec), &job)
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -305,6 +305,25 @@
 			}
 		}
 		return compare(n, e[1])
+	case "rented": // rented N [ZONE]: machines ever, in a zone
+		n := 0
+		for _, m := range s.cloud.machines {
+			if len(e) < 3 || m.zone == e[2] {
+				n++
+			}
+		}
+		return compare(n, e[1])
+	case "served": // served CLASS N: percent of the class's accepted jobs that are done
+		n, of := 0, 0
+		for _, j := range s.order {
+			if j.spec.Class == e[1] && j.accepted {
+				of++
+				if !j.finished.IsZero() {
+					n++
+				}
+			}
+		}
+		return of > 0 && compare(100*n/of, e[2])
 	case "started":
 		return compare(s.started, e[1])
 	case "moved":
@@ -467,18 +486,27 @@
 			w.store.muted[n.name] = mute{w.now.Add(span(f[2])), dur(args(f[3:]), "late", 0)}
 		}
 	case "cut": // cut WHO D hold|reset [only=HOSTS]
-		hosts := map[string]bool{}
+		hosts, zone := map[string]bool{}, ""
 		if n := s.node(f[1]); n != nil {
 			hosts[n.name] = true
 		} else if f[1] == "user" {
 			hosts["user"] = true
-		} else if zone, ok := strings.CutPrefix(f[1], "zone="); ok {
+		} else if z, ok := strings.CutPrefix(f[1], "zone="); ok {
+			zone = z
 			for _, m := range w.cloud.machines {
 				if m.zone == zone {
 					hosts[m.host] = true
 				}
 			}
-			hosts["n0"] = true // a node lives in the zone as well
+			nodes := args(f[3:])["nodes"] // that live in the zone as well
+			if nodes == "" {
+				nodes = "n0"
+			}
+			for word := range strings.SplitSeq(nodes, ",") {
+				if n := s.node(word); n != nil {
+					hosts[n.name] = true
+				}
+			}
 		} else {
 			n, _ := strconv.Atoi(f[1])
 			for _, m := range s.busiest(n) {
@@ -492,7 +520,7 @@
 				only[h] = true
 			}
 		}
-		w.net.split(hosts, only, f[3] == "hold", span(f[2]))
+		w.net.split(hosts, only, f[3] == "hold", span(f[2]), zone)
 	case "hang":
 		n, _ := strconv.Atoi(f[1])
 		for _, m := range s.busiest(n) {
