Tasks found midway are not judged by when they were found; aimless idle work stands back

Idle work without deadline and objective stood ahead of standing work that had missed an aim, and took its room.

Change: run.midway; aimless jobs stand back like late ones.

--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -70,6 +70,9 @@
 			// begun and would keep the room for long.
 			loss := r.job.spec.Snapshot
 			if r.job.spec.SnapshotEvery <= 0 {
+				if r.midway {
+					continue // it may have run for long: to a new leader all look begun just now
+				}
 				loss = c.now.Sub(r.began)
 				if !r.job.spec.Service {
 					d, ok := lasts[r.job]
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -26,6 +26,7 @@
 	order   uint64 // the counter of the report whose reply carried the start
 	ordered time.Time
 	began   time.Time // first reported as running
+	midway  bool      // it ran before that, nobody knows for how long
 	slot    *timeline.Booking
 	saved   bool   // exited, and the worker may forget it
 	counted bool   // among its job's running tasks
@@ -364,6 +365,7 @@
 		r.job = j
 		return r
 	}
+	r.midway = t.Phase != Pulling
 	if j == nil || j.done.has(t.Task.Index) || j.runs[t.Task.Index] != nil {
 		// Nobody waits for it: stop it.
 		r.stop = true
@@ -510,7 +512,7 @@
 			return
 		}
 		if j != nil && !r.saved && !j.halted() {
-			if was == TaskRuns && !r.began.IsZero() {
+			if was == TaskRuns && !r.began.IsZero() && !r.midway {
 				c.observe(j, m, c.now.Sub(r.began))
 			}
 			j.ended = append(j.ended, r)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -303,7 +303,7 @@
 		o := &offers.list[0]
 		k := max(o.m.tl.Count(o.start, o.length, j.need, n), 1)
 		back := time.Duration(0)
-		if !dated && c.yields(j, o.length) {
+		if !dated && (c.yields(j, o.length) || c.aimless(j)) {
 			back = c.standsBack(j, o.start)
 		}
 		c.addBooking(&booking{timeline.Booking{Start: o.start, End: o.start.Add(o.length), Need: j.need, Count: k}, j, o.m, back})
@@ -355,6 +355,19 @@
 	return lateYield + timeline.Seconds(scarceWeight*work/rent.cpus) - start.Sub(c.now)
 }
 
+// aimless reports whether nobody expects anything of an idle job: no deadline, no
+// objective of the operators. It stands back like one that is late. Otherwise it would
+// go ahead of all that has missed an aim, and a guest's spare-time work would take the
+// room of the standing classes.
+func (c *Core) aimless(j *job) bool {
+	if j.spec.Urgency != Idle || j.spec.Service {
+		return false
+	}
+	none := true
+	c.eachAim(j, 0, func(aim) { none = false })
+	return none
+}
+
 // addBooking adds a booking, in the order of the job's others; the job's place
 // in the queue is for the caller to see to.
 func (c *Core) addBooking(b *booking) {
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yewpass/internal/config"
+	"yewpass/internal/timeline"
 )
 
 // TestAims: a deadline counts again at the times that an objective names, and a
@@ -114,3 +115,60 @@
 		t.Log(few, many)
 	}
 }
+
+// TestFoundMidway: what a new leader finds running began long ago for all it knows. It
+// tells nothing of how long tasks take, and is not stopped as hardly begun.
+func TestFoundMidway(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, phase := range []Phase{Pulling, TaskRuns} {
+		c := leaderOf(t, 1)
+		c.lead.teams["u"] = &team{guarantee: timeline.Capacity(100, 0, 0)}
+		c.lead.teams["t"].guarantee = timeline.Resources{}
+		m := c.lead.fleet[0]
+		long := newJob(c, 1, 1, rng)
+		long.spec.CPUs, long.spec.Runtime = 4, 10*time.Minute
+		long.need = long.spec.Need()
+		rep := reportOf(m)
+		rep.Tasks = []TaskReport{{Task: TaskID{Job: long.spec.ID}, Try: 1, Phase: phase}}
+		c.learn(m, &rep)
+		rep.Counter++
+		rep.Tasks = []TaskReport{{Task: TaskID{Job: long.spec.ID}, Try: 1, Phase: TaskRuns}}
+		c.learn(m, &rep)
+		waits := newJob(c, 2, 1, rng)
+		waits.spec.Owner, waits.team = "u", c.lead.teams["u"]
+		waits.submitted = t0.Add(-time.Minute)
+		c.book(waits)
+		c.giveBack()
+		if stopped := m.runs[0].stop; stopped != (phase == Pulling) {
+			t.Errorf("found %s: stopped %v", phase, stopped)
+		}
+		c.now = c.now.Add(3 * time.Second)
+		rep.Counter++
+		rep.Tasks[0] = TaskReport{Task: TaskID{Job: long.spec.ID}, Try: 1, Phase: Exited, Cause: CauseDone}
+		c.learn(m, &rep)
+		if seen := c.lead.est.of(&long.spec) != nil; seen != (phase == Pulling) {
+			t.Errorf("found %s: counts for estimates %v", phase, seen)
+		}
+	}
+}
+
+// TestAimless: idle work of which nobody expects anything stands behind what is late.
+func TestAimless(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	c := leaderOf(t, 1)
+	c.fill(c.lead.fleet[0])
+	add := func(id int, class string, urgency Urgency) *job {
+		j := newJob(c, id, 1, rng)
+		j.spec.Class, j.spec.Dated, j.spec.Urgency = class, false, urgency
+		c.book(j)
+		return j
+	}
+	guest, dear := add(1, "x", Idle), add(2, "x", Standard)
+	late := add(3, "c", Idle)
+	late.missed = t0.Add(time.Hour)
+	c.unbook(late)
+	c.book(late)
+	if guest.turn.Before(late.turn) || !dear.turn.Before(late.turn) {
+		t.Errorf("turns: aimless idle %v, aimless %v, late %v", guest.turn.Sub(t0), dear.turn.Sub(t0), late.turn.Sub(t0))
+	}
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -521,6 +521,10 @@
 			}
 		}
 		w.net.split(hosts, only, f[3] == "hold", span(f[2]), zone)
+	case "stall": // stall NODE D: its process stands still, its clocks run on
+		if n := s.node(f[1]); n != nil {
+			n.stall(span(f[2]))
+		}
 	case "hang":
 		n, _ := strconv.Atoi(f[1])
 		for _, m := range s.busiest(n) {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -123,6 +123,14 @@
 
 // run plays until end and checks after every event.
 func (w *world) run(end time.Duration) {
+	w.runTo(end)
+	if w.started == 0 && slices.ContainsFunc(w.order, func(j *userJob) bool { return j.accepted && !j.wants }) {
+		w.fail("nothing_ran", "no task was started")
+	}
+}
+
+// runTo is run without the rule that speaks of the whole.
+func (w *world) runTo(end time.Duration) {
 	last := w.now
 	for w.step(w.start.Add(end)) {
 		if w.dirty || w.now.Sub(last) > time.Second {
@@ -130,9 +138,6 @@
 			w.check()
 		}
 	}
-	if w.started == 0 && slices.ContainsFunc(w.order, func(j *userJob) bool { return j.accepted && !j.wants }) {
-		w.fail("nothing_ran", "no task was started")
-	}
 }
 
 // node is a controller: the core, with the actors' work done by the world.
@@ -153,6 +158,9 @@
 
 	wander time.Duration // of the time of day against the steady clock
 
+	asleep time.Time // its process stands still until then
+	found  []any     // what it will find
+
 	process remote // the real program, instead of a core
 }
 
@@ -188,6 +196,7 @@
 	}
 	n.life++
 	n.alive = true
+	n.asleep, n.found = time.Time{}, nil
 	cfg := n.cfg
 	cfg.HostName = n.name
 	cfg.Seeds = nil
@@ -283,7 +292,34 @@
 	}
 }
 
+// stall has the node's process stand still while its clocks run on. What came meanwhile
+// it finds when it wakes, the state service's word first, as a node takes its inputs.
+func (n *node) stall(d time.Duration) {
+	life := n.life
+	n.asleep = n.now.Add(d)
+	n.after(d, func() {
+		found := n.found
+		n.found = nil
+		for _, first := range []bool{true, false} {
+			for _, in := range found {
+				if _, ok := in.(core.StoreReply); ok == first && n.life == life && n.alive {
+					n.input(in)
+				}
+			}
+		}
+	})
+}
+
 func (n *node) input(in any) {
+	if n.now.Before(n.asleep) {
+		if _, ok := in.(core.Tick); !ok {
+			n.found = append(n.found, in)
+		} else {
+			n.wake = time.Time{}
+			n.at(n.asleep, func() { n.input(core.Tick{}) })
+		}
+		return
+	}
 	var outs []any
 	if n.measure != nil {
 		outs = n.measure(n, in)
