Reads for users share one allowance; what has begun steps up while machines are scarce

Cause: each node took up to half of the state service's requests for reads of unknown and finished jobs. With five nodes and users asking 900 times a second, renewals of the grant were refused along with them, and the log flickered. Small late jobs went first in a shortage, but equal ones went on side by side, and few ended.

Change: a quarter of the requests for such reads at the leader, a quarter for all others together; the state service counts as away after half a second without an answer. A job that stands back by its length comes nearer with every task that starts.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,7 @@
 	alone     *rate.Limiter
 	reads     *rate.Limiter
 	stateUp   bool
+	served    time.Time // when the state service last served us
 
 	report, lease, hold time.Duration
 }
@@ -88,7 +89,7 @@
 		cfg: cfg, pol: pol, cal: cal, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){}, probes: map[uint64]func(ProbeReply){},
 		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, relay: newRelaying(), stateUp: true,
-		reads:  rate.NewLimiter(rate.Limit(cfg.Settings.State.RPS/2), max(1, int(cfg.Settings.State.RPS/2))),
+		reads:  newReadLimit(cfg.Settings.State.RPS, 1+len(cfg.Seeds)),
 		report: cfg.Settings.Workers.Report.Duration(),
 		lease:  cfg.Settings.Workers.Lease.Duration(),
 	}
@@ -221,10 +222,28 @@
 	return d/2 + time.Duration(c.rng.Int64N(int64(d)+1))
 }
 
+// readPart is how much of the requests that the state service allows goes into reads for
+// users' calls: so much at the leader, and so much at all other nodes together. Each node
+// for itself may not take what all of them share: when users ask about unknown and
+// forgotten jobs many times as often, renewals of the grant would be refused with them.
+const readPart = 0.25
+
+func newReadLimit(rps float64, nodes int) *rate.Limiter {
+	each := rps * readPart / float64(nodes)
+	return rate.NewLimiter(rate.Limit(each), max(2, int(each))) // a poll may take two
+}
+
+// flicker is for how long calls must go unserved for it to be worth a word: a few are
+// refused now and then when more come at once than the allowance has room for.
+const flicker = 500 * time.Millisecond
+
 // noteState logs when the state service goes away and comes back.
 func (c *Core) noteState(o Outcome) {
 	up := o != Refused && o != Unknown
-	if up == c.stateUp {
+	if up {
+		c.served = c.now
+	}
+	if up == c.stateUp || !up && c.now.Sub(c.served) < flicker {
 		return
 	}
 	c.stateUp = up
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -262,6 +262,7 @@
 func (c *Core) begin(term, rev, grant uint64, sent time.Time, ahead time.Duration) {
 	st := c.cfg.Settings.State
 	c.termMax, c.confirmed, c.hint = term, term, ""
+	c.reads = newReadLimit(st.RPS, 1)
 	c.lead = &leadership{
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now, ahead: ahead,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
@@ -360,6 +361,7 @@
 	}
 	c.note(slog.LevelWarn, "leadership lost", "term", l.term, "reason", why)
 	c.lead = nil
+	c.reads = newReadLimit(c.cfg.Settings.State.RPS, 1+len(c.cfg.Seeds))
 	if len(l.rent.flavors) > 0 {
 		c.flavors = l.rent.flavors
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -17,6 +17,7 @@
 	job  *job
 	m    *machine
 	back time.Duration // by how much it stands back in the queue
+	each time.Duration // by how much less for every task of the job that starts
 }
 
 // lateYield is by how much a booking that misses its deadline anyway stands
@@ -302,11 +303,11 @@
 		}
 		o := &offers.list[0]
 		k := max(o.m.tl.Count(o.start, o.length, j.need, n), 1)
-		back := time.Duration(0)
+		var back, each time.Duration
 		if !dated && (c.yields(j, o.length) || c.aimless(j)) {
-			back = c.standsBack(j, o.start)
+			back, each = c.standsBack(j, o.start)
 		}
-		c.addBooking(&booking{timeline.Booking{Start: o.start, End: o.start.Add(o.length), Need: j.need, Count: k}, j, o.m, back})
+		c.addBooking(&booking{timeline.Booking{Start: o.start, End: o.start.Add(o.length), Need: j.need, Count: k}, j, o.m, back, each})
 		if at, ok := c.slot(j, o.m, o.length, a.by, dated); ok {
 			o.start = at
 			heap.Fix(offers, 0)
@@ -320,7 +321,7 @@
 		if dated {
 			at = a.by.Add(-base)
 		}
-		c.addBooking(&booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, 0})
+		c.addBooking(&booking{timeline.Booking{Start: at, End: at.Add(max(base, time.Second)), Need: j.need, Count: n}, j, nil, 0, 0})
 	}
 }
 
@@ -346,13 +347,27 @@
 // need the least: most of them are then served, and what is begun is finished before more
 // is. Each going on a little, hardly any would end. Whatever has an aim to meet goes
 // before them all, and a job's turn comes nearer as it waits, so that none starves.
-func (c *Core) standsBack(j *job, start time.Time) time.Duration {
+func (c *Core) standsBack(j *job, start time.Time) (back, each time.Duration) {
 	rent := &c.lead.rent
 	if rent.backlog < scarceBacklog || rent.cpus <= 0 {
-		return lateYield
+		return lateYield, 0
+	}
+	each = timeline.Seconds(scarceWeight * float64(j.need.CPU) / 1000 * c.estimate(j).Seconds() / rent.cpus)
+	return lateYield + time.Duration(j.waiting)*each - start.Sub(c.now), each
+}
+
+// stepUp moves a job of which n more tasks have begun up in the queue, if it stands back by its length.
+func (c *Core) stepUp(j *job, n int) {
+	moved := false
+	for _, b := range j.books {
+		if b.each > 0 {
+			b.back -= time.Duration(n) * b.each
+			moved = true
+		}
+	}
+	if moved {
+		c.lead.queue.place(j)
 	}
-	work := float64(j.waiting) * float64(j.need.CPU) / 1000 * c.estimate(j).Seconds()
-	return lateYield + timeline.Seconds(scarceWeight*work/rent.cpus) - start.Sub(c.now)
 }
 
 // aimless reports whether nobody expects anything of an idle job: no deadline, no
@@ -618,6 +633,9 @@
 		if whole {
 			i-- // the job has moved on to its next booking, or left the queue
 		}
+		if b.each > 0 {
+			c.stepUp(j, n)
+		}
 		if j.waiting > j.booked && j.booked < window/2 {
 			c.bookSoon(j)
 		}
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -68,7 +68,7 @@
 	base := c.stretched(j)
 	a, dated := c.aim(j, base)
 	for n := min(j.waiting, window) - j.booked; n > 0; n = min(j.waiting, window) - j.booked {
-		back := time.Duration(0)
+		var back, each time.Duration
 		var best *machine
 		var start time.Time
 		var length time.Duration
@@ -95,9 +95,9 @@
 		}
 		k := max(best.tl.Count(start, length, j.need, n), 1)
 		if !dated && (c.yields(j, length) || c.aimless(j)) {
-			back = c.standsBack(j, start)
+			back, each = c.standsBack(j, start)
 		}
-		c.addBooking(&booking{Booking: timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, job: j, m: best, back: back})
+		c.addBooking(&booking{Booking: timeline.Booking{Start: start, End: start.Add(length), Need: j.need, Count: k}, job: j, m: best, back: back, each: each})
 		c.lead.queue.place(j)
 	}
 }
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -324,6 +324,14 @@
 			}
 		}
 		return of > 0 && compare(100*n/of, e[2])
+	case "refused": // requests to the state service that were above the allowance
+		return compare(s.store.refused, e[1])
+	case "terms": // the newest that any node leads or knows
+		n := 0
+		for _, x := range s.nodes {
+			n = max(n, int(x.core.Stats().Term))
+		}
+		return compare(n, e[1])
 	case "started":
 		return compare(s.started, e[1])
 	case "moved":
@@ -525,6 +533,8 @@
 		if n := s.node(f[1]); n != nil {
 			n.stall(span(f[2]))
 		}
+	case "storm": // storm D rate=N: so many polls a second besides
+		w.storm(num(args(f[2:]), "rate", 400), w.now.Add(span(f[1])))
 	case "hang":
 		n, _ := strconv.Atoi(f[1])
 		for _, m := range s.busiest(n) {
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -151,6 +151,34 @@
 }
 
 func (w *world) poll(j *userJob) {
+	w.pollOnce(j, func() {
+		if j.told == "" {
+			w.after(w.spread(5*time.Second, 0.2), func() { w.poll(j) })
+		} else if !j.asked {
+			// A late repetition, long after the end, and one more poll.
+			j.asked = true
+			w.after(w.spread(25*time.Second, 0.9), func() { w.submit(j) })
+			w.after(w.spread(40*time.Second, 0.9), func() { w.poll(j) })
+		}
+	})
+}
+
+// storm has users ask many times as often: about jobs that there are or were, every
+// fourth time about one that there never was.
+func (w *world) storm(rate float64, end time.Time) {
+	if !w.now.Before(end) {
+		return
+	}
+	if w.rng.IntN(4) == 0 || len(w.order) == 0 {
+		w.pollUnknown()
+	} else {
+		w.pollOnce(w.order[w.rng.IntN(len(w.order))], func() {})
+	}
+	w.after(time.Duration(1e9/rate), func() { w.storm(rate, end) })
+}
+
+// pollOnce polls once and has then called after the answer.
+func (w *world) pollOnce(j *userJob, then func()) {
 	w.request(core.OpGet, nil, j.spec.ID, 2*time.Second, func(status int, a core.AnswerUser) {
 		w.polls++
 		switch status {
@@ -172,14 +200,7 @@
 				w.fail("forgotten", "no poll of %s is answered for 90 s", j.spec.ID)
 			}
 		}
-		if j.told == "" {
-			w.after(w.spread(5*time.Second, 0.2), func() { w.poll(j) })
-		} else if !j.asked {
-			// A late repetition, long after the end, and one more poll.
-			j.asked = true
-			w.after(w.spread(25*time.Second, 0.9), func() { w.submit(j) })
-			w.after(w.spread(40*time.Second, 0.9), func() { w.poll(j) })
-		}
+		then()
 	})
 }
 
@@ -210,11 +231,15 @@
 
 // askUnknown polls for jobs that nobody has submitted.
 func (w *world) askUnknown() {
+	w.pollUnknown()
+	w.after(7*time.Second, w.askUnknown)
+}
+
+func (w *world) pollUnknown() {
 	id := fmt.Sprintf("wk-9%08d", w.rng.IntN(1e8))
 	w.request(core.OpGet, nil, id, 2*time.Second, func(status int, a core.AnswerUser) {
 		if status == 200 {
 			w.fail("invented", "%s, which nobody submitted, gets 200", id)
 		}
 	})
-	w.after(7*time.Second, w.askUnknown)
 }
