--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -36,13 +36,16 @@
 func (c *Core) lookAtZones() {
 	l := c.lead
 	quiet := c.quietAfter()
+	heard := func(m *machine) bool {
+		return m.reported && c.now.Sub(maxTime(m.seen, l.regained)) <= quiet
+	}
 	sights := map[string]zones.Sight{}
 	for _, m := range l.fleet {
 		if m.releasing || !m.leaving.IsZero() || !m.reported && !m.lost && !l.owed[m.host] {
 			continue // on its way out, or not up yet
 		}
 		s := sights[m.zone]
-		if m.reported && c.now.Sub(maxTime(m.seen, l.regained)) <= quiet || !m.reported && !m.lost && c.now.Sub(l.since) <= min(quiet, zoneUnheard) {
+		if heard(m) || !m.reported && !m.lost && c.now.Sub(l.since) <= min(quiet, zoneUnheard) {
 			s.Heard++
 		} else {
 			s.Silent++
@@ -62,7 +65,7 @@
 		switch {
 		case !m.in.Away():
 			m.away = false
-		case m.away || m.releasing || m.reported && c.now.Sub(maxTime(m.seen, l.regained)) <= quiet:
+		case m.away || m.releasing || heard(m):
 		default:
 			m.away = true
 			c.unbookMachine(m)
