A process or machine that is back at once is told from the one before it

Cause: what carries a node's name or counts from 1 could not tell a process from the next one of its name. By reading, and with a test each: a relay's new process let out replies of an older leader than the one before had acknowledged; a read that was long on its way, or a leader that had ended, had an acknowledged term forgotten; a late report of a worker's earlier life, newer by its counters, took back starts; lines of a session that is over ended the one at hand.

Change: calls are numbered from a random number and answers about another job are dropped; a relay opens no session before the state service has named a term; old reads lower no term; a report with an epoch that its worker had passed proves nothing before the lease is over; sessions that are over stay over. A process gives back the grant of the one before it, so nobody waits 2 s for it; a leader tells of itself on every new link; workers of a relay that began anew are given time; machine types are asked for 0.2 to 0.6 s after a start, so that one which keeps ending does not use up the cloud's calls.

Two sets of orders, planted errors found in both.

--- a/internal/core/alone.go
+++ b/internal/core/alone.go
@@ -28,6 +28,7 @@
 	submitWait = 700 * time.Millisecond
 	// flavorsEvery is how often a node that does not lead reads the machine types.
 	flavorsEvery = time.Minute
+	flavorsFirst = 400 * time.Millisecond // and first so long after it has begun
 )
 
 func newAloneLimit(writes float64, nodes int) *rate.Limiter {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,6 +57,7 @@
 	wander time.Duration
 	began  time.Time // the first input
 
+	life      uint64 // of this process: tells it from one of the same name that ended before
 	ref       uint64
 	stores    map[uint64]func(StoreReply)
 	clouds    map[uint64]func(CloudReply)
@@ -66,7 +67,9 @@
 	lead      *leadership
 	hint      string // who leads, as far as we know
 	termMax   uint64 // the highest term heard of
+	claimRef  uint64 // calls numbered up to this one were made before it was heard of
 	keyRev    uint64 // of the leader's key when it was last read
+	firstRev  uint64 // of the state service when it first answered this process
 	confirmed uint64 // the newest that the state service has told us of
 	links     map[string]bool
 	apart     time.Time                       // since when we have no link to the leader that we know
@@ -94,6 +97,12 @@
 		lease:  cfg.Settings.Workers.Lease.Duration(),
 	}
 	c.alone = newAloneLimit(cfg.Settings.State.WriteRPS, 1+len(cfg.Seeds))
+	// A process may follow another of its name within a fraction of a second, and what
+	// the leader answers to a call of the former one reaches the new one's link. Were both
+	// to count from 1, a user would be told about somebody else's job.
+	lives := rand.New(rand.NewPCG(seed, seed^0xd1b54a32d192ed03))
+	c.life = lives.Uint64()>>11 | 1 // what JSON readers of any kind take whole
+	c.ref = lives.Uint64N(1 << 48)
 	// A leader without authority goes on answering reports for this long, so
 	// that tasks outlive an outage. It must end early enough that a task whose
 	// job was cancelled under a successor is gone in time: the successor's
@@ -113,7 +122,9 @@
 		c.watch()
 		if len(c.cfg.Seeds) > 0 {
 			c.relayTick()
-			c.learnFlavors()
+			// Not at once: a process that ends again and again would use up what calls
+			// the cloud allows to all of them.
+			c.after(c.jitter(flavorsFirst), c.learnFlavors)
 		}
 	}
 	c.alarms()
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -92,7 +92,11 @@
 	// followed. The key's own is as old as the term, and the service forgets what
 	// is 10,000 changes old: following from there would be turned away at once,
 	// again and again, by every node, until the service serves nobody else.
+	asked := c.ref
 	c.store(StoreCall{Op: StoreList, Key: leaderKey, Limit: 1}, func(r StoreReply) {
+		if r.Outcome == OK && c.firstRev == 0 {
+			c.firstRev = max(1, r.Rev)
+		}
 		switch {
 		case c.lead != nil:
 		case r.Outcome != OK:
@@ -101,21 +105,25 @@
 			// A small random delay keeps the nodes from all standing at once.
 			c.after(c.jitter(40*time.Millisecond), func() { c.stand(0) })
 		default:
-			c.watchRecord(r.Entries[0], r.Rev)
+			c.watchRecord(r.Entries[0], r.Rev, asked)
 		}
 	})
 }
 
 // watchRecord follows the leader's key, which is there.
-func (c *Core) watchRecord(e Entry, from uint64) {
+func (c *Core) watchRecord(e Entry, from, asked uint64) {
 	rec, _ := e.Value.(*LeaderRecord)
 	known := e.Rev == c.keyRev
 	c.keyRev = e.Rev
 	if rec != nil {
-		c.recordedLeader(rec)
+		c.recordedLeader(rec, asked)
 	} else if !known {
 		c.note(slog.LevelError, "record is unreadable", "key", e.Key, "effect", "if its grant lives its leader goes on, unknown to us")
 	}
+	if rec != nil && rec.Node == c.cfg.HostName {
+		c.endFormer(e, rec, from)
+		return
+	}
 	if rec == nil || known && !c.links[rec.Node] {
 		// A leader's key is under its grant. One that stands without, because it
 		// was damaged or brought back from a copy, stands for nobody, and would
@@ -137,6 +145,40 @@
 	c.followLeader(from)
 }
 
+// endFormer ends a leadership of our own name that nobody can be exercising: this
+// process's own, which it has given up, or that of the process before it. Its grant would
+// keep the nodes from a leader until it runs out, and a process is back long before.
+//
+// Nothing of it is taken on: whoever leads next has a term and a grant of its own. What
+// was written under our name after this process had begun to read is neither, but a
+// transaction that came late, or a second process of this name; it runs out by itself.
+func (c *Core) endFormer(e Entry, rec *LeaderRecord, from uint64) {
+	if rec.Life != c.life && e.Rev > c.firstRev {
+		c.note(slog.LevelError, "another process leads under this node's name, or a late transaction says so", "key", e.Key, "term", rec.Term)
+		c.followLeader(from)
+		return
+	}
+	c.store(StoreCall{Op: StoreGet, Key: leaderKey}, func(r StoreReply) {
+		switch {
+		case c.lead != nil:
+		case r.Outcome != OK || r.Entries[0].Rev != e.Rev:
+			c.after(c.jitter(40*time.Millisecond), c.watch)
+		case r.Entries[0].Grant == 0:
+			c.note(slog.LevelError, "leader's key has no grant, it is taken over", "key", e.Key)
+			c.after(c.jitter(40*time.Millisecond), func() { c.stand(e.Rev) })
+		default:
+			c.note(slog.LevelInfo, "the grant of a former process is given back", "term", rec.Term)
+			c.store(StoreCall{Op: StoreDropGrant, Grant: r.Entries[0].Grant}, func(d StoreReply) {
+				if d.Outcome == OK || d.Outcome == Missing {
+					c.watch()
+				} else {
+					c.followLeader(from)
+				}
+			})
+		}
+	})
+}
+
 // follow waits until a key below the prefix has changed after a revision, or for long.
 func follow(prefix string, from uint64) StoreCall {
 	return StoreCall{Op: StoreFollow, Key: prefix, FromRev: from, Wait: 20 * time.Second, Within: 25 * time.Second}
@@ -153,9 +195,14 @@
 }
 
 // recordedLeader takes note of the leader that the state service names. That goes
-// above everything that peers have said.
-func (c *Core) recordedLeader(rec *LeaderRecord) {
+// above everything that peers have said, unless it was read before they said it: an answer
+// that has been on its way for long must not have a term forgotten that we have taken note
+// of. Its leader counts on our not passing on an older one's replies any more.
+func (c *Core) recordedLeader(rec *LeaderRecord, asked uint64) {
 	if rec.Term < c.termMax {
+		if asked < c.claimRef {
+			return
+		}
 		c.note(slog.LevelWarn, "a term that was claimed never was", "claimed", c.termMax, "term", rec.Term)
 		c.termMax = rec.Term
 	}
@@ -174,6 +221,9 @@
 	if c.hint != node {
 		c.apart = c.now
 	}
+	if term > c.termMax {
+		c.claimRef = c.ref
+	}
 	c.termMax = term
 	if node == c.cfg.HostName {
 		node = "" // our own earlier life: its key lasts until its grant ends
@@ -217,7 +267,7 @@
 			}
 			c.store(StoreCall{Op: StoreTxn,
 				When: []Cond{{leaderKey, keyRev}, {termKey, rev}},
-				Then: []Write{{leaderKey, &LeaderRecord{c.cfg.HostName, term}, g.Grant}, {termKey, &TermRecord{term}, 0}},
+				Then: []Write{{leaderKey, &LeaderRecord{c.cfg.HostName, term, c.life}, g.Grant}, {termKey, &TermRecord{term}, 0}},
 			}, func(r StoreReply) {
 				// What was heard of terms does not count here, only the record: a
 				// peer may say anything. An answer that comes this late finds the
@@ -564,7 +614,8 @@
 		c.apart = c.now
 	}
 	c.links[p.Name] = p.Up
-	if c.lead != nil && p.Up && !c.lead.acked[p.Name] {
+	if c.lead != nil && p.Up {
+		// Also to one that has taken note of the term: it may be a new process.
 		c.emit(PeerSend{p.Name, PeerMsg{Kind: PeerLeader, Term: c.lead.term}})
 	}
 	if !p.Up {
@@ -654,6 +705,7 @@
 			c.confirm(term)
 		}
 	}
+	asked := c.ref
 	c.store(StoreCall{Op: StoreGet, Key: leaderKey}, func(r StoreReply) {
 		if c.lead != nil || c.termMax != term {
 			return
@@ -664,9 +716,27 @@
 		}
 		switch {
 		case rec != nil:
-			c.recordedLeader(rec)
+			c.recordedLeader(rec, asked)
 		case r.Outcome == OK || r.Outcome == Missing:
-			c.termMax, c.hint = c.confirmed, ""
+			// Nobody leads now. The term may have been, and be over: then no older one
+			// must be listened to either.
+			c.store(StoreCall{Op: StoreGet, Key: termKey}, func(t StoreReply) {
+				if c.lead != nil || c.termMax != term {
+					return
+				}
+				var began *TermRecord
+				if t.Outcome == OK {
+					began, _ = t.Entries[0].Value.(*TermRecord)
+				}
+				switch {
+				case began != nil && began.Term >= term:
+					c.confirmed = max(c.confirmed, term)
+				case t.Outcome == OK || t.Outcome == Missing:
+					c.termMax, c.hint = c.confirmed, ""
+				default:
+					c.after(c.jitter(500*time.Millisecond), again)
+				}
+			})
 		default:
 			c.after(c.jitter(500*time.Millisecond), again)
 		}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -205,7 +205,12 @@
 	// A relay that has begun a new session tells again what waits there. What was
 	// answered in the session before has not reached the worker, and will not.
 	again := in.Relay.From != "" && m.reported && rep.Tenure == m.tenure && rep.Counter == m.counter
-	if !again && m.reported && !rep.Newer(m.tenure, m.counter) || rep.Tenure <= m.dead {
+	// A worker never forgets an epoch it has seen, unless it has begun anew: then its
+	// counters may begin anew too, and what is newer by them may have been sent before it
+	// ended. Nothing of either is believed until the lease of what we know is over, which a
+	// machine that is not answered does not outlast.
+	forgets := m.reported && rep.Epoch < m.epoch
+	if !again && m.reported && !rep.Newer(m.tenure, m.counter) || rep.Tenure <= m.dead || forgets {
 		// Delayed on the way: its task list is older than what we know.
 		refuse()
 		return
--- a/internal/core/relays.go
+++ b/internal/core/relays.go
@@ -105,10 +105,11 @@
 	}
 }
 
-// outOfReach reports whether the leader has been known and without a link to us for
-// longer than a change of leader takes. Its workers are then better off with it.
+// outOfReach reports whether the leader has been known and without a link to us, or not
+// known for sure, for longer than a change of leader takes. Its workers are then better
+// off with it.
 func (c *Core) outOfReach() bool {
-	return c.hint != "" && !c.links[c.hint] && c.now.Sub(c.apart) > relayApart
+	return c.hint != "" && (!c.links[c.hint] || c.confirmed == 0) && c.now.Sub(c.apart) > relayApart
 }
 
 func (r *relaying) add(ref uint64, rep *Report) {
@@ -151,7 +152,7 @@
 			continue
 		}
 		a := AnswerReport{Ref: ref, Status: 421}
-		if c.hint != "" && !c.links[c.hint] {
+		if c.hint != "" && (!c.links[c.hint] || c.confirmed == 0) {
 			a.Upstream = c.hint
 		}
 		c.dropPassed(p)
@@ -176,7 +177,11 @@
 // relayPump runs after each input while we do not lead.
 func (c *Core) relayPump() {
 	r := &c.relay
-	if !c.linked() {
+	if !c.linked() || c.confirmed == 0 {
+		// A process that the state service has not answered yet knows of no term for
+		// sure. The one before it may have taken note of a newer one than that of the
+		// leader it hears, and a successor counts on that: it takes the leases to be over
+		// that the older leader could have renewed by us.
 		r.fold, r.items, r.gone, r.weight = nil, nil, nil, 0
 		return
 	}
@@ -339,8 +344,14 @@
 		return // it will hear of the newest term, and tell its leader again
 	}
 	p := l.relay(from)
+	former := p.unfold.Session()
 	reps, begun, err := p.unfold.Open(m.Reports)
 	if begun {
+		if former != 0 {
+			// Maybe another process, back so soon that its end went unnoticed. Those who
+			// reported to the one before look for another node first.
+			p.quiet = c.now
+		}
 		// All that waits there is told again. The numbers of the session before mean
 		// nothing any more.
 		for _, x := range l.fleet {
@@ -351,6 +362,9 @@
 		l.waiting = slices.DeleteFunc(l.waiting, func(r ReportIn) bool { return r.Relay.From == from })
 		p.replies, p.weight = nil, 0
 	}
+	if err == relay.ErrOver {
+		return
+	}
 	if err != nil {
 		if err != relay.ErrBroken {
 			c.note(slog.LevelWarn, "relay's reports cannot be read", "relay", from, "reason", err)
--- a/internal/core/relays_test.go
+++ b/internal/core/relays_test.go
@@ -32,9 +32,30 @@
 		n.in(PeerLink{Name: p, Up: true})
 	}
 	n.in(PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerLeader, Term: 5}})
+	n.reads(leaderKey, StoreReply{Outcome: OK, Entries: []Entry{{Key: leaderKey, Value: &LeaderRecord{Node: "n1", Term: 5}, Rev: 9, Grant: 3}}})
 	return n
 }
 
+// calls returns the latest call of the state service that the node has made for the key
+// and that has not been answered.
+func (n *relayNode) calls(key string) (call StoreCall) {
+	for _, o := range n.outs {
+		if s, ok := o.(StoreCall); ok && s.Key == key && n.stores[s.Ref] != nil {
+			call = s
+		}
+	}
+	return call
+}
+
+// reads answers it.
+func (n *relayNode) reads(key string, r StoreReply) {
+	n.t.Helper()
+	if r.Ref = n.calls(key).Ref; r.Ref == 0 {
+		n.t.Fatal("nobody asks for ", key)
+	}
+	n.in(r)
+}
+
 func (n *relayNode) in(in any) {
 	n.outs = append(n.outs, n.Step(n.now, in)...)
 }
--- /dev/null
+++ b/internal/core/returns_test.go
@@ -0,0 +1,226 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"yewpass/internal/calendar"
+	"yewpass/internal/config"
+	"yewpass/internal/relay"
+)
+
+// A process, or a machine, that ends may be back within a fraction of a second, under
+// the name, the address and the counters of the one before. Each test here is about
+// something that then cannot be told from the former one's by these.
+
+func leaderKeyOf(node string, term, rev, life uint64) Entry {
+	return Entry{Key: leaderKey, Value: &LeaderRecord{Node: node, Term: term, Life: life}, Rev: rev, Grant: 3}
+}
+
+// TestAnswerOfFormerProcess: what a leader answers to a call of the process before this
+// one is told to none of this one's users.
+func TestAnswerOfFormerProcess(t *testing.T) {
+	forwards := func(n *relayNode, id string) (ref uint64) {
+		n.outs = nil
+		n.in(UserCall{Ref: 1, Op: OpGet, ID: id})
+		for _, o := range n.outs {
+			if p, ok := o.(PeerSend); ok && p.Msg.Kind == PeerCall {
+				ref = p.Msg.Ref
+			}
+		}
+		return ref
+	}
+	former := newRelayNode(t)
+	ref := forwards(former, "wk-1")
+	n := newRelayNode(t)
+	n.Core = New(former.cfg, former.pol, calendar.NewSet(nil), 8) // another life
+	n.in(PeerLink{Name: "n1", Up: true})
+	n.in(PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerLeader, Term: 5}})
+	if again := forwards(n, "wk-2"); ref == 0 || again == ref {
+		t.Fatalf("calls of two lives have the number %d", ref)
+	}
+	// Not even by chance.
+	ref = forwards(n, "wk-2")
+	n.outs = nil
+	n.in(PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerAnswer, Ref: ref, Answer: &AnswerUser{Status: 200, View: JobView{ID: "wk-1", State: Done}}}})
+	for _, o := range n.outs {
+		if a, ok := o.(AnswerUser); ok {
+			t.Errorf("whoever asked about wk-2 is told %+v", a)
+		}
+	}
+	if _, ok := n.final.Get("wk-2"); ok {
+		t.Error("and so is everybody from then on")
+	}
+}
+
+// TestRelayProcessAnew: a relay's process that has ended may have acknowledged a term. The
+// next one knows nothing of that, and lets no older leader's reply out all the same.
+func TestRelayProcessAnew(t *testing.T) {
+	n := newRelayNode(t)
+	n.Core, n.outs = New(n.cfg, n.pol, calendar.NewSet(nil), 8), nil
+	n.in(Tick{})
+	n.in(PeerLink{Name: "n1", Up: true})
+	n.in(PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerLeader, Term: 5}}) // which holds on, out of authority
+	n.worker(1, 1)
+	for _, b := range n.sent("n1") {
+		n.reply("n1", 5, b.Session, 1)
+	}
+	n.expect("of a leader that only says so itself", 1)
+	// It does not keep the worker waiting for long: the leader itself can show what it is.
+	n.pass(relayApart + relayBeat)
+	n.expect("led to who may be the leader", 1, 421)
+	// The state service knows better.
+	n.in(PeerLink{Name: "n2", Up: true})
+	n.reads(leaderKey, StoreReply{Outcome: OK, Entries: []Entry{leaderKeyOf("n2", 6, 20, 4)}})
+	n.worker(2, 2)
+	bs := n.sent("n2")
+	if len(bs) == 0 {
+		t.Fatal("the leader on record is not told")
+	}
+	n.reply("n2", 6, bs[0].Session, 2)
+	n.expect("the leader's", 2, 200)
+}
+
+// TestOldNewsOfLeaders: a term that a relay has acknowledged is not forgotten over what
+// was read before, nor because its leader has ended.
+func TestOldNewsOfLeaders(t *testing.T) {
+	n := newRelayNode(t)
+	n.in(Tick{})
+	n.pass(time.Second)
+	listing := n.calls(leaderKey)
+	if listing.Op != StoreList {
+		t.Fatalf("%+v", listing)
+	}
+	n.in(PeerIn{From: "n2", Msg: PeerMsg{Kind: PeerLeader, Term: 6}}) // acknowledged
+	confirming := n.calls(leaderKey)
+	n.in(StoreReply{Ref: listing.Ref, Outcome: OK, Rev: 10, Entries: []Entry{leaderKeyOf("n1", 5, 9, 4)}})
+	stillSix := func(when string) {
+		t.Helper()
+		if n.termMax != 6 {
+			t.Fatalf("%s: the newest term is %d", when, n.termMax)
+		}
+		n.outs = nil
+		n.in(PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerLeader, Term: 5}})
+		n.worker(1, 1)
+		for _, b := range n.sent("n1") {
+			n.reply("n1", 5, b.Session, 1)
+		}
+		n.expect(when, 1)
+		n.in(ReportGone{Ref: 1})
+	}
+	stillSix("after an answer that was long on its way")
+	// The new leader has ended already, with its grant.
+	n.in(PeerLink{Name: "n2"})
+	n.in(StoreReply{Ref: confirming.Ref, Outcome: Missing, Rev: 30})
+	n.reads(termKey, StoreReply{Outcome: OK, Entries: []Entry{{Key: termKey, Value: &TermRecord{6}, Rev: 25}}})
+	stillSix("after its leader has ended")
+}
+
+// TestFormerGrant: a process gives back the grant of the one before it, and no other.
+func TestFormerGrant(t *testing.T) {
+	for name, x := range map[string]struct {
+		entry Entry
+		drops bool
+	}{
+		"the former process's":                    {leaderKeyOf("n0", 7, 12, 99), true},
+		"written after this process had begun":    {leaderKeyOf("n0", 7, 22, 99), false},
+		"another node's, which may well be alive": {leaderKeyOf("n1", 7, 12, 99), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := &config.Config{HostName: "n0", Seeds: []config.Seed{{HostName: "n1"}}}
+			cfg.Settings.State = config.State{RPS: 250, WriteRPS: 60, ValueKB: 16, TxnOps: 12}
+			n := &relayNode{New(cfg, nil, calendar.NewSet(nil), 7), t, t0, nil}
+			n.in(Tick{})
+			first := n.calls(leaderKey)
+			if x.entry.Rev > 20 { // nobody leads at first
+				n.in(StoreReply{Ref: first.Ref, Outcome: Refused})
+				n.firstRev = 20
+				n.pass(time.Second)
+				first = n.calls(leaderKey)
+			}
+			n.in(StoreReply{Ref: first.Ref, Outcome: OK, Rev: 30, Entries: []Entry{x.entry}})
+			if get := n.calls(leaderKey); get.Op == StoreGet {
+				n.reads(leaderKey, StoreReply{Outcome: OK, Entries: []Entry{x.entry}})
+			}
+			drops := false
+			for _, o := range n.outs {
+				s, ok := o.(StoreCall)
+				drops = drops || ok && s.Op == StoreDropGrant && s.Grant == x.entry.Grant
+			}
+			if drops != x.drops {
+				t.Errorf("grant given back: %v", drops)
+			}
+			if n.Leads(n.now) {
+				t.Error("it leads by the grant of another process")
+			}
+		})
+	}
+}
+
+// TestLeaderTellsAgain: a peer whose link is new may be a new process, whatever the one
+// before it had taken note of.
+func TestLeaderTellsAgain(t *testing.T) {
+	c := leaderOf(t, 0)
+	c.cfg.Seeds = []config.Seed{{HostName: "n1"}}
+	c.Step(c.now, PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerAck, Term: 1}})
+	for _, o := range c.Step(c.now, PeerLink{Name: "n1", Up: true}) {
+		if p, ok := o.(PeerSend); ok && p.Msg.Kind == PeerLeader {
+			return
+		}
+	}
+	t.Error("it is not told who leads")
+}
+
+// TestWorkerAnew: a worker that has begun anew may count from 1. What it had sent before
+// and comes late is newer by its counters; it says nothing about what was started since.
+func TestWorkerAnew(t *testing.T) {
+	c := leaderOf(t, 1)
+	l := c.lead
+	m := l.fleet[0]
+	l.term, m.epoch = 6, 6 // known in this term by the counters it has now
+	m.tenure, m.counter = 1, 2
+	j := newJob(c, 1, 1, testRand())
+	j.spec.Class, j.any = "c", true
+	c.book(j)
+	now := reportOf(m)
+	now.Epoch = 6
+	c.Step(c.now, ReportIn{Ref: 1, Report: now})
+	if len(m.runs) != 1 {
+		t.Fatalf("%d runs", len(m.runs))
+	}
+	for _, late := range []Report{{Tenure: 1, Counter: 88}, {Tenure: 3, Counter: 1}} {
+		late.Host, late.Flavor, late.Zone, late.Epoch = m.host, m.flavorName, m.zone, 5
+		c.Step(c.now.Add(time.Second), ReportIn{Ref: 2, Report: late})
+		if len(m.runs) != 1 || j.waiting != 0 {
+			t.Fatalf("tenure %d, counter %d, epoch 5: %d runs, %d wait", late.Tenure, late.Counter, len(m.runs), j.waiting)
+		}
+	}
+	// Not for ever: once the lease is over by our clock it is a machine like any other.
+	c.now = c.now.Add(withDrift(c.lease) + 2*time.Second)
+	l.until = c.now.Add(time.Hour)
+	c.review(m, time.Hour, time.Hour, time.Hour, false)
+	if c.Step(c.now, ReportIn{Ref: 3, Report: Report{Host: m.host, Flavor: m.flavorName, Zone: m.zone, Tenure: 2, Counter: 9}}); !m.reported || m.epoch != 0 {
+		t.Error("the machine never counts again")
+	}
+}
+
+// TestRelayBackUnnoticed: who reported to a relay's process that has ended needs time to
+// find another node, however soon the next process is there.
+func TestRelayBackUnnoticed(t *testing.T) {
+	c := leaderOf(t, 1)
+	c.cfg.Seeds = []config.Seed{{HostName: "n1"}}
+	m := c.lead.fleet[0]
+	rep := reportOf(m)
+	send := func(f *relay.Fold, items ...relay.Item) {
+		c.Step(c.now.Add(time.Second), PeerIn{From: "n1", Msg: PeerMsg{Kind: PeerReports, Term: 1, Reports: f.Batch(items, nil)}})
+	}
+	f := relay.NewFold(3)
+	send(f, f.Item(17, &rep))
+	if p := c.patience(m, 10*time.Second); p != 10*time.Second {
+		t.Fatalf("patience of %v while the relay goes on", p)
+	}
+	send(relay.NewFold(4))
+	if p := c.patience(m, 10*time.Second); p <= c.report*5/4+workerGivesUp {
+		t.Errorf("patience of %v", p)
+	}
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -460,6 +460,7 @@
 type LeaderRecord struct {
 	Node string
 	Term uint64
+	Life uint64 // of the node's process; 0 in records of versions that had none
 }
 
 // NumberRecord says up to which number schedules may have been numbered.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -90,6 +90,9 @@
 	if f == nil || f.leader != from || m.Answer == nil {
 		return
 	}
+	if v := m.Answer.View.ID; v != "" && v != f.call.ID && f.call.Schedule == nil && !ofCluster(f.call.Op) {
+		return // about another job: meant for somebody else
+	}
 	delete(c.calls, m.Ref)
 	if m.Answer.Status == 503 && (f.call.Op == OpGet || f.call.Op == OpSubmit && m.Answer.Reason == notLeader) {
 		c.withoutLeader(f.call)
--- a/internal/relay/fold.go
+++ b/internal/relay/fold.go
@@ -90,6 +90,7 @@
 // Unfold is a leader's end of the links of one relay, one after the other.
 type Unfold struct {
 	session, number uint64
+	former          []uint64                  // sessions that are over, the latest last
 	machines        map[uint64]*report.Report // the last one of each, by handle
 }
 
@@ -97,6 +98,14 @@
 // belong to another session.
 var ErrBroken = errors.New("batches are missing")
 
+// ErrOver says that a batch is of a session that another has followed: it was held on the
+// way, maybe since an earlier process of the relay. It changes nothing.
+var ErrOver = errors.New("the session is over")
+
+// formerMost is how many sessions are remembered that are over: as many as a relay may
+// begin while one of its lines is held on the way, and some.
+const formerMost = 64
+
 // machinesMost bounds what a relay has remembered for it: more workers than any node
 // has connections for.
 const machinesMost = 1 << 17
@@ -108,8 +117,15 @@
 // After an error, which names what does not fit, nothing of the session can be used:
 // the relay has to begin a new one.
 func (u *Unfold) Open(b *Batch) (rs []report.Report, begun bool, err error) {
+	if slices.Contains(u.former, b.Session) {
+		return nil, false, ErrOver
+	}
 	if b.Number == 1 && b.Session != 0 && b.Session != u.session {
-		*u = Unfold{session: b.Session, machines: map[uint64]*report.Report{}}
+		former := u.former
+		if u.session != 0 {
+			former = append(former[max(0, len(former)+1-formerMost):], u.session)
+		}
+		*u = Unfold{session: b.Session, former: former, machines: map[uint64]*report.Report{}}
 		begun = true
 	}
 	if b.Session != u.session || b.Session == 0 || b.Number != u.number+1 {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -280,3 +280,20 @@
 		}
 	}
 }
+
+// TestFormerSession: what was held on the way since a session that is over ends none.
+func TestFormerSession(t *testing.T) {
+	r := report.Report{Host: "host-1", Flavor: "f", Zone: "a", Tenure: 1, Counter: 1}
+	first, next := NewFold(1), NewFold(2)
+	held := first.Batch([]Item{first.Item(1, &r)}, nil)
+	var u Unfold
+	for i, b := range []*Batch{held, next.Batch(nil, nil), held, next.Batch([]Item{next.Item(1, &r)}, nil)} {
+		_, _, err := u.Open(b)
+		if want := i == 2; (err == ErrOver) != want || !want && err != nil {
+			t.Errorf("line %d: %v", i, err)
+		}
+	}
+	if u.Session() != 2 {
+		t.Errorf("session %d", u.Session())
+	}
+}
--- a/internal/scenario/orders_test.go
+++ b/internal/scenario/orders_test.go
@@ -52,42 +52,42 @@
 		name: "accept and retry", text: tiny + "team t\nrun 120s\nexpect over\nexpect leaders =1",
 		from: 6 * time.Second, events: []string{"submit wk-1 run=3s", "again wk-1", "crash leader back=3s"},
 		races: []string{"txn", "txn answer", "call", "answer"}, loses: []string{"txn", "txn answer"},
-		passes: []time.Duration{50 * time.Millisecond, 1600 * time.Millisecond, 2500 * time.Millisecond}, depth: 4, orders: 855,
+		passes: []time.Duration{50 * time.Millisecond, 1600 * time.Millisecond, 2500 * time.Millisecond}, depth: 4, orders: 876,
 	},
 	{
 		name: "cancel and start", text: tiny + "team t\nrun 120s\nexpect over\nexpect running wk-1 =0",
 		from: 6 * time.Second, events: []string{"submit wk-1 run=300s tasks=3", "cancel wk-1"},
-		races: []string{"txn", "txn answer", "reply", "call"}, passes: []time.Duration{600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 456,
+		races: []string{"txn", "txn answer", "reply", "call"}, passes: []time.Duration{600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 459,
 	},
 	{
 		name: "start and a change of leader", text: tiny + "team t\nat 5.9s submit wk-1 run=40s tasks=3\nrun 180s\nexpect over\nexpect leaders =1",
 		from: 5900 * time.Millisecond, events: []string{"crash leader back=3s", "cut 1 9s hold"},
-		races: []string{"reply", "report", "probe"}, passes: []time.Duration{300 * time.Millisecond, 3 * time.Second, 22 * time.Second}, depth: 4, orders: 2472,
+		races: []string{"reply", "report", "probe"}, passes: []time.Duration{300 * time.Millisecond, 3 * time.Second, 22 * time.Second}, depth: 4, orders: 2422,
 	},
 	{
 		name: "done and a change of leader", text: tiny + "team t\nat 6s submit wk-1 run=4s tasks=2\nrun 150s\nexpect over\nexpect leaders =1",
 		from: 10 * time.Second, events: []string{"crash leader back=3s"},
-		races: []string{"report", "reply", "txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{200 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 2221,
+		races: []string{"report", "reply", "txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{200 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second}, depth: 4, orders: 2159,
 	},
 	{
 		name: "end of a lease and a late report", text: tiny + "team t\nat 5s submit wk-1 run=60s tasks=3\nrun 250s\nexpect over",
 		from: 12 * time.Second, events: []string{"cut 1 30s hold", "hang 1 12s"},
-		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{time.Second, 21 * time.Second}, depth: 4, orders: 1438,
+		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{time.Second, 21 * time.Second}, depth: 4, orders: 1683,
 	},
 	{
 		name: "a limit across a take-over", text: tiny + "team t max=3\nat 5s submit wk-1 run=30s tasks=3\nrun 250s\nexpect over\nexpect leaders =1",
 		from: 9 * time.Second, events: []string{"crash leader back=3s", "submit wk-2 run=5s tasks=3", "cut 1 12s hold"},
-		races: []string{"report", "reply", "probe"}, passes: []time.Duration{500 * time.Millisecond, 22 * time.Second}, depth: 4, orders: 1929,
+		races: []string{"report", "reply", "probe"}, passes: []time.Duration{500 * time.Millisecond, 22 * time.Second}, depth: 4, orders: 1901,
 	},
 	{
 		name: "a late transaction under a successor", text: tiny + "team t\nat 5s submit wk-1 run=20s tasks=2\nrun 200s\nexpect over\nexpect leaders =1",
 		from: 9 * time.Second, events: []string{"cancel wk-1", "submit wk-2 run=3s", "deny leader 4s"},
-		races: []string{"txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second}, depth: 4, orders: 1739,
+		races: []string{"txn", "txn answer"}, loses: []string{"txn", "txn answer"}, passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second}, depth: 4, orders: 1765,
 	},
 	{
 		name: "a machine taken", text: tiny + "team t\ncapacity s b spot=2\nmachines s b n=1 spot\nat 5s submit wk-1 run=20s tasks=9\nrun 250s\nexpect over",
 		from: 9 * time.Second, events: []string{"take 1", "take 1 notice=6s", "crash leader back=3s"},
-		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{600 * time.Millisecond, 4 * time.Second}, depth: 4, orders: 951,
+		races: []string{"report", "reply", "release", "release answer"}, passes: []time.Duration{600 * time.Millisecond, 4 * time.Second}, depth: 4, orders: 1577,
 	},
 	{
 		name: "a start through a relay and a change of leader", text: relayed + "at 5.9s submit wk-1 run=40s tasks=3\nrun 180s\nexpect over\nexpect leaders =1",
@@ -110,6 +110,16 @@
 		races: []string{"txn", "txn answer", "peer", "call"}, loses: []string{"txn", "txn answer"},
 		passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond}, depth: 4, orders: 1240,
 	},
+	{
+		name: "a process and the next one", text: relayed + "at 5.6s crash n1 back=50ms\nat 5.9s submit wk-1 run=40s tasks=6\nrun 180s\nexpect over\nexpect leaders =1",
+		from: 5900 * time.Millisecond, events: []string{"crash leader back=50ms", "cut 1 9s hold", "crash n2 back=50ms"},
+		races: []string{"peer", "reply", "report"}, passes: []time.Duration{100 * time.Millisecond, 400 * time.Millisecond}, depth: 4, orders: 1031,
+	},
+	{
+		name: "a machine that is back", text: tiny + "team t max=3\nat 5s submit wk-1 run=30s tasks=3\nrun 250s\nexpect over\nexpect leaders =1",
+		from: 9 * time.Second, events: []string{"restart 1 back=50ms anew", "crash leader back=50ms"},
+		races: []string{"report", "reply", "probe"}, passes: []time.Duration{500 * time.Millisecond, 22 * time.Second}, depth: 4, orders: 1371,
+	},
 }
 
 // racing is one play of an ordering.
@@ -359,6 +369,30 @@
 // TestOrdersPlanted: errors put between the core and the world are found by some
 // order, so the search can fail.
 func TestOrdersPlanted(t *testing.T) {
+	unrecorded := func() func(n *node, out any) any {
+		return func(n *node, out any) any { // machines go unrecorded: nobody waits for them
+			if call, ok := out.(core.StoreCall); ok && call.Op == core.StoreTxn {
+				call.Then = slices.DeleteFunc(slices.Clone(call.Then), func(w core.Write) bool {
+					_, ok := w.Value.(*core.MachineRecord)
+					return ok
+				})
+				return call
+			}
+			return out
+		}
+	}
+	lower := func() func(n *node, out any) any {
+		return func(n *node, out any) any { // attempts of the second term are below the first's
+			if a, ok := out.(core.AnswerReport); ok {
+				a.Orders = slices.Clone(a.Orders)
+				for i := range a.Orders {
+					a.Orders[i].Try = a.Orders[i].Try&0xffff + 100/a.Epoch
+				}
+				return a
+			}
+			return out
+		}
+	}
 	for _, p := range []struct {
 		set, rule string
 		lie       func() func(n *node, out any) any
@@ -377,30 +411,10 @@
 				return out
 			}
 		}},
-		{"start and a change of leader", "ran_twice", func() func(n *node, out any) any {
-			return func(n *node, out any) any { // machines go unrecorded: nobody waits for them
-				if call, ok := out.(core.StoreCall); ok && call.Op == core.StoreTxn {
-					call.Then = slices.DeleteFunc(slices.Clone(call.Then), func(w core.Write) bool {
-						_, ok := w.Value.(*core.MachineRecord)
-						return ok
-					})
-					return call
-				}
-				return out
-			}
-		}},
-		{"start and a change of leader", "misuse", func() func(n *node, out any) any {
-			return func(n *node, out any) any { // attempts of the second term are below the first's
-				if a, ok := out.(core.AnswerReport); ok {
-					a.Orders = slices.Clone(a.Orders)
-					for i := range a.Orders {
-						a.Orders[i].Try = a.Orders[i].Try&0xffff + 100/a.Epoch
-					}
-					return a
-				}
-				return out
-			}
-		}},
+		{"start and a change of leader", "ran_twice", unrecorded},
+		{"a process and the next one", "ran_twice", unrecorded},
+		{"start and a change of leader", "misuse", lower},
+		{"a machine that is back", "misuse", lower},
 		{"cancel and start", "ran_cancelled", func() func(n *node, out any) any {
 			return func(n *node, out any) any { // stops are forgotten
 				if a, ok := out.(core.AnswerReport); ok {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -86,6 +86,8 @@
 		"cut 2 30s hold", "cut 2 40s reset", "cut 1 8s hold", "cut zone=a 25s hold", "cut zone=b 40s reset", "hang 1 15s", "hang 2 45s",
 		"sick 1 60s", "slow 1 factor=3", "take 3 notice=12s", "take 4", "boots never", "boots 300",
 		"mute leader 4s", "mute leader 2s late=30s", "crash leader back=2s", "cut follower 10s hold only=state", "hang 3 19s", "crash all back=4s", "stall leader 25s", "stall follower 40s", "stall n1 70s",
+		"crash leader back=50ms", "crash all back=200ms", "crash follower back=100ms", "roll 400ms back=100ms", "flap leader 8s every=900ms back=100ms", "flap all 5s every=700ms back=50ms", "flap n1 15s every=300ms",
+		"restart 2 back=100ms", "restart 3 back=50ms anew", "restart 9 back=200ms anew",
 		"cut zone=a 60s hold nodes=leader", "cut zone=b 90s reset nodes=n1", "cut zone=a 13s hold nodes=n1,n2", "cut zone=b 35s hold nodes=follower",
 	}
 	for seed := range *seeds {
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -467,6 +467,17 @@
 				}
 			}
 		}
+	case "flap": // flap WHO D every=D [back=D]: its process ends again and again
+		for t := time.Duration(0); t < span(f[2]); t += dur(args(f[3:]), "every", time.Second) {
+			w.after(t, func() {
+				s.act([]string{"crash", f[1], "back=" + dur(args(f[3:]), "back", 100*time.Millisecond).String()})
+			})
+		}
+	case "restart": // restart N [back=D] [anew]: the busiest machines end and are back, counting on or from 1
+		n, _ := strconv.Atoi(f[1])
+		for _, m := range s.busiest(n) {
+			m.restart(dur(args(f[2:]), "back", 200*time.Millisecond), args(f[2:])["anew"] != "")
+		}
 	case "leave": // leave NODE [back=D]: its process is told to end, hands over and ends
 		if n := s.node(f[1]); n != nil {
 			n.input(core.Leave{})
@@ -474,7 +485,7 @@
 		}
 	case "roll":
 		for i, n := range w.nodes {
-			w.after(time.Duration(i)*span(f[1]), func() { n.crash(3 * time.Second) })
+			w.after(time.Duration(i)*span(f[1]), func() { n.crash(dur(args(f[2:]), "back", 3*time.Second)) })
 		}
 	case "outage":
 		switch f[1] {
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -110,6 +110,33 @@
 	}
 }
 
+// restart has the machine end and be back after a while, under its name and address: its
+// tasks are gone and its worker begins again, which has seen no epoch. Whether it counts
+// on or from 1 the protocol does not say.
+func (m *worker) restart(back time.Duration, anew bool) {
+	m.do(func() {
+		for _, t := range m.tasks {
+			t.change++ // nothing of it goes on
+		}
+		m.tasks, m.images = nil, map[string]time.Time{}
+		m.flight, m.epoch, m.news, m.told = 0, 0, false, time.Time{}
+		m.plan++
+		m.up = time.Time{}
+		m.dirty = true
+		m.after(back, func() {
+			if !m.gone.IsZero() {
+				return
+			}
+			m.up, m.answered = m.now, m.now
+			if anew {
+				m.tenure, m.counter = 1, 0
+			}
+			m.watchLease()
+			m.report()
+		})
+	})
+}
+
 // changed has a report sent soon.
 func (m *worker) changed() {
 	m.news = true
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -180,6 +180,7 @@
 
 type link struct {
 	up     bool
+	life   int // of the process at its other end
 	broken time.Time
 }
 
@@ -207,7 +208,7 @@
 	}
 	n.core = core.New(&cfg, pol, n.calendars(), n.rng.Uint64())
 	n.core.SetWander(n.wander)
-	n.reply = map[uint64]func(any){}
+	n.ref, n.reply = 0, map[uint64]func(any){} // a process numbers what it is asked from 1
 	n.links = map[string]*link{}
 	for _, o := range n.nodes {
 		n.links[o.name] = &link{}
@@ -243,7 +244,7 @@
 }
 
 // checkLinks tells the core which links to peers are up: a dead peer is noticed
-// at once, one behind a cut after a while.
+// at once, also when its next process is there already, one behind a cut after a while.
 func (n *node) checkLinks(life int) {
 	if n.life != life {
 		return
@@ -256,9 +257,9 @@
 		open := n.net.open(n.name, o.name)
 		switch {
 		case o.alive && open && !l.up:
-			l.up, l.broken = true, time.Time{}
+			l.up, l.life, l.broken = true, o.life, time.Time{}
 			n.input(core.PeerLink{Name: o.name, Up: true})
-		case o.alive && open:
+		case o.alive && open && l.life == o.life:
 			l.broken = time.Time{}
 		case l.up && l.broken.IsZero():
 			l.broken = n.now
@@ -424,8 +425,8 @@
 		}, core.ProbeReply{Ref: o.Ref, Outcome: core.Unknown})
 	case core.PeerSend:
 		for _, p := range n.nodes {
-			if p.name == o.To && n.links[p.name].up {
-				msg, life := o.Msg, p.life
+			if l := n.links[p.name]; p.name == o.To && l.up {
+				msg, life := o.Msg, l.life
 				n.net.send("peer", n.name, p.name, func() {
 					if p.alive && p.life == life { // else the connection has gone with it
 						p.input(core.PeerIn{From: n.name, Msg: msg})
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -261,6 +261,7 @@
 	Type string `json:"type"` // "leader" or "term"
 	Node string `json:"node,omitempty"`
 	Term uint64 `json:"term"`
+	Life uint64 `json:"life,omitempty"`
 }
 
 // scheduleJSON is a schedule. Times are in milliseconds, 0 where unknown.
@@ -380,9 +381,9 @@
 		}
 		return m
 	case *core.LeaderRecord:
-		return leaderJSON{"leader", v.Node, v.Term}
+		return leaderJSON{"leader", v.Node, v.Term, v.Life}
 	case *core.TermRecord:
-		return leaderJSON{"term", "", v.Term}
+		return leaderJSON{"term", "", v.Term, 0}
 	case *schedule.Record:
 		return encodeSchedule(v)
 	case *core.NumberRecord:
@@ -437,7 +438,7 @@
 	case "leader":
 		var l leaderJSON
 		if json.Unmarshal(e.V, &l) == nil && l.Node != "" && l.Term > 0 && l.Term <= core.MaxTerm {
-			out.Value = &core.LeaderRecord{Node: l.Node, Term: l.Term}
+			out.Value = &core.LeaderRecord{Node: l.Node, Term: l.Term, Life: l.Life}
 		}
 	case "term":
 		var l leaderJSON
