Scenarios tell how much of each class and team is served, at the least

The word served takes a class, team=NAME or all, and counts jobs done or tasks done, whichever is less.

--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -313,17 +313,14 @@
 			}
 		}
 		return compare(n, e[1])
-	case "served": // served CLASS N: percent of the class's accepted jobs that are done
-		n, of := 0, 0
-		for _, j := range s.order {
-			if j.spec.Class == e[1] && j.accepted {
-				of++
-				if !j.finished.IsZero() {
-					n++
-				}
+	case "served": // served CLASS N, served team=NAME N, served all N (the worst of them)
+		worst := -1
+		for of, percent := range s.served() {
+			if of == e[1] || e[1] == "all" && (worst < 0 || percent < worst) {
+				worst = percent
 			}
 		}
-		return of > 0 && compare(100*n/of, e[2])
+		return worst >= 0 && compare(worst, e[2])
 	case "refused": // requests to the state service that were above the allowance
 		return compare(s.store.refused, e[1])
 	case "terms": // the newest that any node leads or knows
@@ -354,6 +351,37 @@
 	panic("unknown expectation " + e[0])
 }
 
+// served returns, for each class and team, what percent of its jobs are done or of their
+// tasks, whichever is less. Jobs that their users cancelled or that fail everywhere, and
+// services, are not asked for.
+func (s *script) served() map[string]int {
+	type tally struct{ jobs, jobsOf, tasks, tasksOf int }
+	of := map[string]*tally{}
+	for _, j := range s.order {
+		if !j.accepted || j.wants || j.faulty || j.spec.Service {
+			continue
+		}
+		for _, k := range []string{j.spec.Class, "team=" + j.spec.Owner} {
+			t := of[k]
+			if t == nil {
+				t = &tally{}
+				of[k] = t
+			}
+			t.jobsOf++
+			t.tasksOf += j.spec.Tasks
+			t.tasks += len(j.done)
+			if !j.finished.IsZero() {
+				t.jobs++
+			}
+		}
+	}
+	percent := map[string]int{}
+	for k, t := range of {
+		percent[k] = min(100*t.jobs/t.jobsOf, 100*t.tasks/t.tasksOf)
+	}
+	return percent
+}
+
 // compare reads =3, <3, >3 or 3.
 func compare(n int, s string) bool {
 	op, num := s[0], strings.TrimLeft(s, "<>=")
