--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -474,3 +474,53 @@
 	}
 	f.works("wk-1") // with the file as it was
 }
+
+// TestDrillKilledAgain: controllers are killed and started again at once, twenty times,
+// under submissions. Every accepted job is answered and done, and however many connect to
+// a process, nothing they do has it block one thread each.
+func TestDrillKilledAgain(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(3, nil)
+	f.leader()
+	var jobs []*userJob
+	for i := range 20 {
+		jobs = append(jobs, f.job("wk-"+strconv.Itoa(100+i), "tasks=2", "run=300ms"))
+		p := ps[i%3]
+		if i%4 == 3 {
+			p = f.leader()
+		}
+		p.kill()
+		p.start()
+	}
+	for i, j := range jobs {
+		f.until(j.spec.ID+" is done", told(core.Done, j))
+		if status, _, _ := ps[i%3].do("GET", "/v2/runs/"+j.spec.ID, nil); status != 200 {
+			t.Errorf("%s gets %d", j.spec.ID, status)
+		}
+	}
+	l := f.leader()
+	var all sync.WaitGroup
+	for i := range 400 { // each with a connection of its own, half of them in the middle of a request
+		all.Go(func() {
+			c, err := net.DialTimeout("tcp", l.clients, time.Second)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			text := "GET /v2/runs/wk-100 HTTP/1.1\r\nHost: x\r\n\r\n"
+			io.WriteString(c, text[:len(text)-i%2])
+			time.Sleep(500 * time.Millisecond)
+		})
+	}
+	all.Wait()
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(l.cmd.Process.Pid) + "/status")
+	if err != nil {
+		t.Skip("this system does not tell how many threads a process has")
+	}
+	_, rest, _ := strings.Cut(string(data), "\nThreads:")
+	line, _, _ := strings.Cut(rest, "\n")
+	if n, err := strconv.Atoi(strings.TrimSpace(line)); err != nil || n > 64 {
+		t.Errorf("%s threads after 400 connections", line)
+	}
+	f.running(ps)
+}
