--- a/internal/core/alone.go
+++ b/internal/core/alone.go
@@ -68,18 +68,30 @@
 		c.answer(call, no) // the leader says so, who asks the records first
 		return
 	}
+	// Nor does the service know of all jobs if it has lost some. Whoever has the last
+	// leader's copy knows.
+	if k := c.bestCopy(); k == nil || k.Term != c.confirmed || c.lostWhy != "" {
+		c.answer(call, no)
+		return
+	} else if _, over := k.Get(finalKeys + s.ID); over {
+		c.answer(call, no)
+		return
+	}
 	if !c.alone.AllowN(c.now, 2) || !c.reads.AllowN(c.now, 1) {
 		c.answer(call, no)
 		return
 	}
 	rec := &JobRecord{Spec: *s, Submitted: c.now.Round(0)}
 	c.store(StoreCall{Op: StoreTxn,
-		When: unheardOf(s.ID),
+		// The term that we know must be on record: a service that has lost its data knows of
+		// no job, not even of those that are over.
+		When: append(unheardOf(s.ID), Cond{termKey, c.confirmedRev}),
 		Then: []Write{{Key: jobKeys + s.ID, Value: rec}, {Key: aloneKeys + s.ID, Value: &LeaderRecord{Node: c.cfg.HostName, Term: max(1, c.termMax)}}},
 	}, func(r StoreReply) {
 		switch r.Outcome {
 		case OK:
 			c.note(slog.LevelInfo, "job accepted without a leader", "job", s.ID)
+			c.keepAlone(rec, r.Rev)
 			c.answer(call, AnswerUser{Status: 201, View: JobView{ID: s.ID, State: Queued}})
 		case Conflict, Unknown:
 			// It has a record, maybe this one.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"yewpass/internal/calendar"
 	"yewpass/internal/config"
 	"yewpass/internal/policy"
+	"yewpass/internal/rebuild"
 )
 
 // Keys of the state service. Everything that a successor reads lies under
@@ -57,41 +58,46 @@
 	wander time.Duration
 	began  time.Time // the first input
 
-	life      uint64 // of this process: tells it from one of the same name that ended before
-	ref       uint64
-	stores    map[uint64]func(StoreReply)
-	clouds    map[uint64]func(CloudReply)
-	probes    map[uint64]func(ProbeReply)
-	calls     map[uint64]*forwarded // users' requests at the leader's
-	wake      byTime[func()]        // alarms: a large fleet has one for nearly every machine
-	lead      *leadership
-	hint      string // who leads, as far as we know
-	termMax   uint64 // the highest term heard of
-	claimRef  uint64 // calls numbered up to this one were made before it was heard of
-	keyRev    uint64 // of the leader's key when it was last read
-	firstRev  uint64 // of the state service when it first answered this process
-	confirmed uint64 // the newest that the state service has told us of
-	links     map[string]bool
-	apart     time.Time                       // since when we have no link to the leader that we know
-	final     *lru.Cache[string, FinalRecord] // how recent jobs ended
-	relay     relaying
-	passed    time.Time // when we last handed over
-	flavors   []Flavor  // as read while not leading
-	alone     *rate.Limiter
-	reads     *rate.Limiter
-	stateUp   bool
-	served    time.Time // when the state service last served us
+	life         uint64 // of this process: tells it from one of the same name that ended before
+	ref          uint64
+	stores       map[uint64]func(StoreReply)
+	clouds       map[uint64]func(CloudReply)
+	probes       map[uint64]func(ProbeReply)
+	calls        map[uint64]*forwarded // users' requests at the leader's
+	wake         byTime[func()]        // alarms: a large fleet has one for nearly every machine
+	lead         *leadership
+	hint         string        // who leads, as far as we know
+	termMax      uint64        // the highest term heard of
+	claimRef     uint64        // calls numbered up to this one were made before it was heard of
+	keyRev       uint64        // of the leader's key when it was last read
+	firstRev     uint64        // of the state service when it first answered this process
+	known        rebuild.Known // what we have seen of the state service
+	lostWhy      string        // why it must have lost data, until somebody leads who knows
+	led          uint64        // the last term that we led
+	copies       copies
+	confirmed    uint64 // the newest that the state service has told us of
+	confirmedRev uint64 // at which it is on record
+	links        map[string]bool
+	apart        time.Time                       // since when we have no link to the leader that we know
+	final        *lru.Cache[string, FinalRecord] // how recent jobs ended
+	relay        relaying
+	passed       time.Time // when we last handed over
+	flavors      []Flavor  // as read while not leading
+	alone        *rate.Limiter
+	reads        *rate.Limiter
+	stateUp      bool
+	served       time.Time // when the state service last served us
 
 	report, lease, hold time.Duration
 }
 
 // New returns a controller that has not begun; give it a Tick to begin.
 func New(cfg *config.Config, pol *policy.Policy, cal *calendar.Set, seed uint64) *Core {
-	final, _ := lru.New[string, FinalRecord](4096) // errs only for a size below 1
+	final, _ := lru.New[string, FinalRecord](max(4096, int(cfg.Settings.Limits.MemMB*finalsPerMB))) // errs only for a size below 1
 	c := &Core{
 		cfg: cfg, pol: pol, cal: cal, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		stores: map[uint64]func(StoreReply){}, clouds: map[uint64]func(CloudReply){}, probes: map[uint64]func(ProbeReply){},
-		calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, relay: newRelaying(), stateUp: true,
+		copies: copies{lends: map[string]*lending{}}, calls: map[uint64]*forwarded{}, links: map[string]bool{}, final: final, relay: newRelaying(), stateUp: true,
 		reads:  newReadLimit(cfg.Settings.State.RPS, 1+len(cfg.Seeds)),
 		report: cfg.Settings.Workers.Report.Duration(),
 		lease:  cfg.Settings.Workers.Lease.Duration(),
@@ -217,7 +223,11 @@
 	if call.Within == 0 {
 		call.Within = storeWithin
 	}
-	c.stores[call.Ref] = f
+	seen, era := c.known.Rev, c.known.Era
+	c.stores[call.Ref] = func(r StoreReply) {
+		c.sawRev(r.Rev, seen, era)
+		f(r)
+	}
 	c.emit(call)
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -10,7 +10,9 @@
 
 	"golang.org/x/time/rate"
 
+	"yewpass/internal/rebuild"
 	"yewpass/internal/relay"
+	"yewpass/internal/snapshot"
 	"yewpass/internal/topology"
 	"yewpass/internal/zones"
 )
@@ -73,6 +75,17 @@
 	tries       uint64
 	doubting    bool // whether the term is still ours is being looked into
 
+	gather     *gathering                  // while the records are looked for
+	rebuild    *rebuilding                 // after a loss
+	restore    []snapshot.Record           // still to be written back
+	holders    map[string]*snapshot.Sender // controllers that have a copy
+	copying    bool
+	endsFrom   string // who tells us how jobs have ended
+	ends       snapshot.Holder
+	scheduling int           // of them, those that schedules are read from
+	fresh      bool          // no term was on record before ours
+	lag        time.Duration // for so long into our term an earlier leader may have led
+
 	holdIdle, holdBusy time.Duration
 	margin             float64
 }
@@ -102,8 +115,13 @@
 		case r.Outcome != OK:
 			c.after(c.jitter(400*time.Millisecond), c.watch)
 		case len(r.Entries) == 0 || r.Entries[0].Key != leaderKey:
-			// A small random delay keeps the nodes from all standing at once.
-			c.after(c.jitter(40*time.Millisecond), func() { c.stand(0) })
+			// A small random delay keeps the nodes from all standing at once. One without
+			// a copy of the records leaves it to others first.
+			wait := c.jitter(40 * time.Millisecond)
+			if c.bestCopy() == nil && len(c.cfg.Seeds) > 0 {
+				wait += emptyLater
+			}
+			c.after(wait, func() { c.stand(0) })
 		default:
 			c.watchRecord(r.Entries[0], r.Rev, asked)
 		}
@@ -116,7 +134,7 @@
 	known := e.Rev == c.keyRev
 	c.keyRev = e.Rev
 	if rec != nil {
-		c.recordedLeader(rec, asked)
+		c.recordedLeader(rec, e.Rev, asked)
 	} else if !known {
 		c.note(slog.LevelError, "record is unreadable", "key", e.Key, "effect", "if its grant lives its leader goes on, unknown to us")
 	}
@@ -124,7 +142,7 @@
 		c.endFormer(e, rec, from)
 		return
 	}
-	if rec == nil || known && !c.links[rec.Node] {
+	if rec == nil || known {
 		// A leader's key is under its grant. One that stands without, because it
 		// was damaged or brought back from a copy, stands for nobody, and would
 		// keep the nodes from a leader for ever.
@@ -153,11 +171,7 @@
 // was written under our name after this process had begun to read is neither, but a
 // transaction that came late, or a second process of this name; it runs out by itself.
 func (c *Core) endFormer(e Entry, rec *LeaderRecord, from uint64) {
-	if rec.Life != c.life && e.Rev > c.firstRev {
-		c.note(slog.LevelError, "another process leads under this node's name, or a late transaction says so", "key", e.Key, "term", rec.Term)
-		c.followLeader(from)
-		return
-	}
+	ours := rec.Life == c.life || e.Rev <= c.firstRev
 	c.store(StoreCall{Op: StoreGet, Key: leaderKey}, func(r StoreReply) {
 		switch {
 		case c.lead != nil:
@@ -166,6 +180,9 @@
 		case r.Entries[0].Grant == 0:
 			c.note(slog.LevelError, "leader's key has no grant, it is taken over", "key", e.Key)
 			c.after(c.jitter(40*time.Millisecond), func() { c.stand(e.Rev) })
+		case !ours:
+			c.note(slog.LevelError, "another process leads under this node's name, or a late transaction says so", "key", e.Key, "term", rec.Term)
+			c.followLeader(from)
 		default:
 			c.note(slog.LevelInfo, "the grant of a former process is given back", "term", rec.Term)
 			c.store(StoreCall{Op: StoreDropGrant, Grant: r.Entries[0].Grant}, func(d StoreReply) {
@@ -184,8 +201,18 @@
 	return StoreCall{Op: StoreFollow, Key: prefix, FromRev: from, Wait: 20 * time.Second, Within: 25 * time.Second}
 }
 
+// followLeaderFor is for how long the leader's key is followed before it is read anew: what
+// is lost from record is gone without a word.
+const followLeaderFor = 4 * time.Second
+
+func followLeaderKey(from uint64) StoreCall {
+	call := follow(leaderKey, from)
+	call.Wait = followLeaderFor
+	return call
+}
+
 func (c *Core) followLeader(from uint64) {
-	c.store(follow(leaderKey, from), func(r StoreReply) {
+	c.store(followLeaderKey(from), func(r StoreReply) {
 		if r.Outcome == OK {
 			c.watch()
 		} else {
@@ -198,16 +225,20 @@
 // above everything that peers have said, unless it was read before they said it: an answer
 // that has been on its way for long must not have a term forgotten that we have taken note
 // of. Its leader counts on our not passing on an older one's replies any more.
-func (c *Core) recordedLeader(rec *LeaderRecord, asked uint64) {
+func (c *Core) recordedLeader(rec *LeaderRecord, rev, asked uint64) {
 	if rec.Term < c.termMax {
 		if asked < c.claimRef {
 			return
 		}
+		if rec.Term < c.known.Term && rec.Era == c.known.Era {
+			c.suspect("the term on record is older than one that was")
+		}
 		c.note(slog.LevelWarn, "a term that was claimed never was", "claimed", c.termMax, "term", rec.Term)
 		c.termMax = rec.Term
 	}
 	c.heard(rec.Node, rec.Term)
-	c.confirmed = rec.Term
+	c.confirmed, c.confirmedRev = rec.Term, rev
+	c.knowEra(rec.Era, rec.Term, rec.Life)
 }
 
 // heard takes note of a leader.
@@ -259,6 +290,20 @@
 				drop()
 				return
 			}
+			before := c.known
+			found := rebuild.Found{Missing: t.Outcome == Missing, Rev: t.Rev}
+			if t.Outcome == OK {
+				if rec, _ := t.Entries[0].Value.(*TermRecord); rec != nil {
+					found.Term, found.Era = rec.Term, rec.Era
+				}
+			}
+			if c.lostWhy == "" {
+				c.lostWhy = before.Lost(found)
+			}
+			era := found.Era
+			if c.lostWhy != "" || era == 0 {
+				era = c.rng.Uint64()>>11 | 1
+			}
 			term, rev := c.nextTerm(t)
 			if term > MaxTerm {
 				c.note(slog.LevelError, "terms are used up", "key", termKey, "term", term)
@@ -267,7 +312,7 @@
 			}
 			c.store(StoreCall{Op: StoreTxn,
 				When: []Cond{{leaderKey, keyRev}, {termKey, rev}},
-				Then: []Write{{leaderKey, &LeaderRecord{c.cfg.HostName, term, c.life}, g.Grant}, {termKey, &TermRecord{term}, 0}},
+				Then: []Write{{leaderKey, &LeaderRecord{c.cfg.HostName, term, c.life, era}, g.Grant}, {termKey, &TermRecord{term, era}, 0}},
 			}, func(r StoreReply) {
 				// What was heard of terms does not count here, only the record: a
 				// peer may say anything. An answer that comes this late finds the
@@ -276,7 +321,13 @@
 					drop()
 					return
 				}
+				ours := c.led != 0 && c.led == before.Term
 				c.begin(term, r.Rev, g.Grant, sent, ahead)
+				c.lead.gather = &gathering{ours: ours, before: before, found: found, lost: c.lostWhy, told: map[string]*Knowledge{}, tried: map[string]bool{}}
+				c.known = c.known.Next(era, term, c.life)
+				c.known.Rev = max(c.known.Rev, r.Rev)
+				c.ask()
+				c.load("")
 			})
 		})
 	})
@@ -290,16 +341,16 @@
 // above the revision at hand is above them all.
 func (c *Core) nextTerm(t StoreReply) (term, rev uint64) {
 	if t.Outcome == Missing {
-		if term = max(t.Rev, c.confirmed) + 1; t.Rev > 0 {
+		if term = max(t.Rev, c.confirmed, c.known.Term) + 1; t.Rev > 0 {
 			c.note(slog.LevelWarn, "no term is on record, going on above the state service's revision", "key", termKey, "term", term)
 		}
 		return term, 0
 	}
 	e := t.Entries[0]
 	if rec, _ := e.Value.(*TermRecord); rec != nil {
-		return max(rec.Term, c.confirmed) + 1, e.Rev // the record may be of an old copy
+		return max(rec.Term, c.confirmed, c.known.Term) + 1, e.Rev // the record may be of an old copy
 	}
-	term = max(e.Rev, c.confirmed) + 1
+	term = max(e.Rev, c.confirmed, c.known.Term) + 1
 	c.note(slog.LevelError, "record is unreadable", "key", termKey, "effect", "terms go on above its revision", "term", term)
 	return term, e.Rev
 }
@@ -311,7 +362,7 @@
 // begin begins a term.
 func (c *Core) begin(term, rev, grant uint64, sent time.Time, ahead time.Duration) {
 	st := c.cfg.Settings.State
-	c.termMax, c.confirmed, c.hint = term, term, ""
+	c.termMax, c.confirmed, c.hint, c.led = term, term, "", term
 	c.reads = newReadLimit(st.RPS, 1)
 	c.lead = &leadership{
 		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now, ahead: ahead,
@@ -326,6 +377,8 @@
 		rent:  newRenting(c.cfg),
 		tally: topology.NewTally(),
 		sched: newSchedules(),
+
+		holders: map[string]*snapshot.Sender{},
 	}
 	c.lead.zones = zones.New(c.zoneSettings())
 	c.lead.places, _ = topology.New(topology.Definition{}) // zones alone: cannot fail
@@ -345,7 +398,6 @@
 	c.lead.own = c.relay.known
 	c.relay = newRelaying()
 	c.renew()
-	c.load("")
 	c.fetchCatalog()
 }
 
@@ -383,9 +435,11 @@
 func (c *Core) renew() {
 	l := c.lead
 	sent, ahead := c.now, c.ahead(c.now)
-	c.leaderStore(StoreCall{Op: StoreExtend, Grant: l.grant, TTL: grantTTL, Within: grantTTL / 2}, func(r StoreReply) {
-		switch r.Outcome {
-		case OK:
+	// The grant alone does not show that the term is on record: a service that has lost
+	// data may know the one and not the other, and whoever looks finds nobody leading.
+	extended, standing := false, false
+	both := func() {
+		if extended && standing {
 			if u := authorityFrom(sent); u.After(l.until) {
 				l.until, l.ahead = u, ahead
 			}
@@ -394,6 +448,18 @@
 				l.dirty = true
 				c.note(slog.LevelInfo, "authority regained", "term", l.term)
 			}
+		}
+	}
+	c.stands(nil, func(r StoreReply, ours bool) {
+		if standing = r.Outcome == OK; ours {
+			both()
+		}
+	})
+	c.leaderStore(StoreCall{Op: StoreExtend, Grant: l.grant, TTL: grantTTL, Within: grantTTL / 2}, func(r StoreReply) {
+		switch r.Outcome {
+		case OK:
+			extended = true
+			both()
 			c.whenLeading(max(0, renewEvery-c.now.Sub(sent)), c.renew)
 		case Missing, Invalid:
 			c.stepDown("the grant has ended")
@@ -447,14 +513,16 @@
 			c.whenLeading(c.jitter(200*time.Millisecond), func() { c.load(from) })
 			return
 		}
+		g := c.lead.gather
 		for _, e := range r.Entries {
-			c.loadEntry(e)
+			g.stored = append(g.stored, snapshot.Record{Key: e.Key, Value: e.Value, Rev: e.Rev})
 		}
 		if r.More && len(r.Entries) > 0 {
 			c.load(r.Entries[len(r.Entries)-1].Key)
 			return
 		}
-		c.loadedAll()
+		g.read = true
+		c.rebuilt()
 	})
 }
 
@@ -532,7 +600,8 @@
 	if len(c.cfg.Seeds) > 0 {
 		c.followAlone()
 	}
-	c.loadSchedules("")
+	c.chooseHolders()
+	c.loadSchedulesSoon()
 	c.tickLead()
 }
 
@@ -568,6 +637,8 @@
 		return
 	}
 	c.housekeep()
+	c.chooseHolders()
+	c.restoreMore()
 	c.dueSchedules()
 	c.whenLeading(tickEvery, c.tickLead)
 }
@@ -617,6 +688,12 @@
 	if c.lead != nil && p.Up {
 		// Also to one that has taken note of the term: it may be a new process.
 		c.emit(PeerSend{p.Name, PeerMsg{Kind: PeerLeader, Term: c.lead.term}})
+		if c.lead.fresh {
+			c.emit(PeerSend{p.Name, PeerMsg{Kind: PeerAsk, Term: c.lead.term}})
+		}
+	}
+	if !p.Up && c.lead != nil {
+		delete(c.lead.holders, p.Name) // it begins anew with the next link
 	}
 	if !p.Up {
 		c.linkLost(p.Name)
@@ -640,6 +717,24 @@
 		c.userCall(UserCall{Ref: p.Msg.Ref, From: p.From, Op: p.Msg.Op, ID: p.Msg.ID, Spec: p.Msg.Spec, Schedule: p.Msg.Schedule})
 	case PeerAnswer:
 		c.peerAnswer(p.From, p.Msg)
+	case PeerCopy:
+		c.peerCopy(p.From, p.Msg.Copy)
+	case PeerAlone:
+		c.peerAlone(p.Msg.Copy)
+	case PeerAgain:
+		c.copyAgain(p.From, p.Msg.Ref)
+	case PeerAsk:
+		if c.lead == nil {
+			c.emit(PeerSend{p.From, PeerMsg{Kind: PeerTell, Term: p.Msg.Term, Know: c.knowledge()}})
+		}
+	case PeerTell:
+		if l := c.lead; l != nil && p.Msg.Term == l.term {
+			c.tells(p.From, p.Msg.Know)
+		}
+	case PeerWant:
+		if c.lead == nil {
+			c.lend(p.From)
+		}
 	case PeerReports:
 		c.relayReports(p.From, p.Msg)
 	case PeerReplies:
@@ -716,7 +811,7 @@
 		}
 		switch {
 		case rec != nil:
-			c.recordedLeader(rec, asked)
+			c.recordedLeader(rec, r.Entries[0].Rev, asked)
 		case r.Outcome == OK || r.Outcome == Missing:
 			// Nobody leads now. The term may have been, and be over: then no older one
 			// must be listened to either.
@@ -730,7 +825,9 @@
 				}
 				switch {
 				case began != nil && began.Term >= term:
-					c.confirmed = max(c.confirmed, term)
+					if c.confirmed < term {
+						c.confirmed, c.confirmedRev = term, t.Entries[0].Rev
+					}
 				case t.Outcome == OK || t.Outcome == Missing:
 					c.termMax, c.hint = c.confirmed, ""
 				default:
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -728,7 +728,7 @@
 // may have gone on answering until its peers told it of our term or its hold ran out.
 func (c *Core) earlierLease() time.Time {
 	l := c.lead
-	base := l.since.Add(c.hold + slack)
+	base := l.since.Add(l.lag + c.hold + slack)
 	if !l.ackedAt.IsZero() && l.ackedAt.Before(base) {
 		base = l.ackedAt
 	}
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -115,6 +115,7 @@
 		c.lead.sched.unread[strings.TrimPrefix(e.Key, scheduleKeys)] = true
 		return
 	}
+	c.keep(e)
 	s := &scheduled{name: strings.TrimPrefix(e.Key, scheduleKeys), rec: rec, rev: e.Rev}
 	c.addSchedule(s)
 	es, _ := rec.Entries()
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -7,9 +7,11 @@
 	"log/slog"
 	"time"
 
+	"yewpass/internal/rebuild"
 	"yewpass/internal/relay"
 	"yewpass/internal/report"
 	"yewpass/internal/schedule"
+	"yewpass/internal/snapshot"
 	"yewpass/internal/spec"
 	"yewpass/internal/timeline"
 )
@@ -243,6 +245,13 @@
 	PeerCall   PeerKind = "call"   // a user's request, forwarded
 	PeerAnswer PeerKind = "answer" // its answer
 
+	PeerCopy  PeerKind = "copy"  // a line of a copy of the records
+	PeerAlone PeerKind = "alone" // a job that the sender has accepted without a leader
+	PeerAgain PeerKind = "again" // lines of that stream are missing: the copy is wanted anew
+	PeerAsk   PeerKind = "ask"   // the sender has begun the term, and asks what is known
+	PeerTell  PeerKind = "tell"  // the answer
+	PeerWant  PeerKind = "want"  // the copy that was told of is wanted
+
 	PeerReports PeerKind = "reports" // of workers, from a relay to the leader
 	PeerReplies PeerKind = "replies" // to them
 )
@@ -260,6 +269,18 @@
 	Schedule *ScheduleCall
 	Reports  *relay.Batch
 	Replies  *relay.Replies
+	Copy     *snapshot.Line
+	Know     *Knowledge
+}
+
+// Knowledge is what a controller tells a new leader of the state service's past.
+type Knowledge struct {
+	rebuild.Known
+	CopyEra  uint64          `json:"copyEra,omitempty"` // of the copy that it has
+	CopyTerm uint64          `json:"copyTerm,omitempty"`
+	CopySeq  uint64          `json:"copySeq,omitempty"`
+	Records  int             `json:"records,omitempty"`
+	Live     snapshot.Digest `json:"live"` // of its records under liveKeys
 }
 
 // Sound reports whether a call of a peer carries what its operation asks for, as the
@@ -461,6 +482,7 @@
 	Node string
 	Term uint64
 	Life uint64 // of the node's process; 0 in records of versions that had none
+	Era  uint64 // see TermRecord
 }
 
 // NumberRecord says up to which number schedules may have been numbered.
@@ -471,4 +493,5 @@
 // TermRecord counts the terms; a term is the workers' epoch.
 type TermRecord struct {
 	Term uint64
+	Era  uint64 // drawn anew whenever data was found to be lost; 0 in records of versions that had none
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -131,11 +131,15 @@
 		return
 	}
 	c.readJob(call.ID, func(v *JobView, known bool) {
+		if known {
+			v, known = c.fromCopy(call.ID, v)
+		}
 		switch {
 		case !known:
 			c.answer(call, unavailable("the state service does not answer"))
 		case v == nil:
-			c.answer(call, AnswerUser{Status: 404, Reason: "no such job"})
+			// That there is none only a leader can say, who knows what was lost.
+			c.answer(call, unavailable("no leader at present"))
 		default:
 			c.answer(call, AnswerUser{Status: 200, View: *v})
 		}
@@ -146,7 +150,7 @@
 // then the final one, because a job moves from the first to the second in one
 // transaction. v is nil for a job that does not exist.
 func (c *Core) readJob(id string, f func(v *JobView, known bool)) {
-	if !c.reads.AllowN(c.now, 2) {
+	if !c.reads.AllowN(c.now, 3) { // with what makes sure that there is none
 		f(nil, false)
 		return
 	}
@@ -242,8 +246,16 @@
 			c.answer(call, unavailable("the state service does not answer"))
 		case l.jobs[call.ID] != nil || l.accept[call.ID] != nil:
 			c.serve(call) // accepted since the read began, which saw nothing of it
+		case v == nil && l.unsure(c.now):
+			c.answer(call, unavailable("data was lost, and what there is is being looked for"))
 		case v == nil:
-			missing()
+			c.stands(unheardOf(call.ID), func(r StoreReply, ours bool) {
+				if r.Outcome == OK && c.acts() {
+					missing()
+				} else {
+					c.answer(call, unavailable("the state service does not answer"))
+				}
+			})
 		case v.State == Done || v.State == Cancelled:
 			c.answer(call, AnswerUser{Status: 200, View: *v})
 		default:
@@ -261,6 +273,7 @@
 			otherwise()
 			return
 		}
+		c.keep(r.Entries[0])
 		if rec, _ := r.Entries[0].Value.(*JobRecord); rec != nil && c.lead.jobs[id] == nil {
 			delete(c.lead.accept, id)
 			c.jobLoaded(c.addJob(rec, false))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"hash/crc32"
 	"io"
 	"log/slog"
 	"net"
@@ -14,6 +15,7 @@
 	"yewpass/internal/config"
 	"yewpass/internal/core"
 	"yewpass/internal/relay"
+	"yewpass/internal/snapshot"
 	"yewpass/internal/state"
 )
 
@@ -28,6 +30,8 @@
 	Answer *answerJSON       `json:"answer,omitempty"`
 
 	Schedule *core.ScheduleCall `json:"schedule,omitempty"`
+	Copy     *lineJSON          `json:"copy,omitempty"`
+	Know     *core.Knowledge    `json:"know,omitempty"`
 	Reports  *relay.Batch       `json:"reports,omitempty"`
 	Replies  *relay.Replies     `json:"replies,omitempty"`
 }
@@ -46,6 +50,62 @@
 	ETag   string          `json:"etag,omitempty"`
 }
 
+// lineJSON is a line of a copy of the records. Its checksum is that of the records as they
+// are written: what is damaged on the way, or by us, must not become a record.
+type lineJSON struct {
+	Era     uint64       `json:"e,omitempty"`
+	Term    uint64       `json:"t"`
+	Session uint64       `json:"s"`
+	Number  uint64       `json:"n"`
+	Seq     uint64       `json:"q,omitempty"`
+	Whole   bool         `json:"w,omitempty"`
+	Puts    []recordJSON `json:"p,omitempty"`
+	Drops   []string     `json:"d,omitempty"`
+	Sum     uint32       `json:"x"`
+}
+
+type recordJSON struct {
+	K string          `json:"k"`
+	V json.RawMessage `json:"v"`
+	R uint64          `json:"r,omitempty"`
+}
+
+func (l *lineJSON) sum() uint32 {
+	h := crc32.NewIEEE()
+	for i := range l.Puts {
+		io.WriteString(h, l.Puts[i].K)
+		h.Write(l.Puts[i].V)
+	}
+	for _, k := range l.Drops {
+		io.WriteString(h, k)
+	}
+	return h.Sum32()
+}
+
+func encodeLine(l *snapshot.Line) *lineJSON {
+	j := &lineJSON{Era: l.Era, Term: l.Term, Session: l.Session, Number: l.Number, Seq: l.Seq, Whole: l.Whole, Drops: l.Drops}
+	for _, r := range l.Puts {
+		j.Puts = append(j.Puts, recordJSON{r.Key, state.EncodeRecord(r.Value), r.Rev})
+	}
+	j.Sum = j.sum()
+	return j
+}
+
+func (l *lineJSON) decode() (*snapshot.Line, bool) {
+	if l.Term == 0 || l.Term > core.MaxTerm || l.Session == 0 || l.Sum != l.sum() {
+		return nil, false
+	}
+	out := &snapshot.Line{Era: l.Era, Term: l.Term, Session: l.Session, Number: l.Number, Seq: l.Seq, Whole: l.Whole, Drops: l.Drops}
+	for _, r := range l.Puts {
+		v := state.DecodeRecord(r.K, r.V)
+		if v == nil {
+			return nil, false
+		}
+		out.Puts = append(out.Puts, snapshot.Record{Key: r.K, Value: v, Rev: r.R})
+	}
+	return out, true
+}
+
 const (
 	kindPing = "ping" // keeps an idle link known to be alive
 
@@ -81,7 +141,10 @@
 	if ch == nil {
 		return
 	}
-	j := messageJSON{From: m.self, Kind: p.Msg.Kind, Term: p.Msg.Term, Ref: p.Msg.Ref, Op: p.Msg.Op, ID: p.Msg.ID, Schedule: p.Msg.Schedule, Reports: p.Msg.Reports, Replies: p.Msg.Replies}
+	j := messageJSON{From: m.self, Kind: p.Msg.Kind, Term: p.Msg.Term, Ref: p.Msg.Ref, Op: p.Msg.Op, ID: p.Msg.ID, Schedule: p.Msg.Schedule, Reports: p.Msg.Reports, Replies: p.Msg.Replies, Know: p.Msg.Know}
+	if p.Msg.Copy != nil {
+		j.Copy = encodeLine(p.Msg.Copy)
+	}
 	if p.Msg.Spec != nil {
 		s := state.EncodeSpec(p.Msg.Spec)
 		j.Spec = &s
@@ -220,11 +283,24 @@
 	if !known[j.From] {
 		return in, false, "from: not one of the seeds"
 	}
-	in = core.PeerIn{From: j.From, Msg: core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID, Schedule: j.Schedule, Reports: j.Reports, Replies: j.Replies}}
+	in = core.PeerIn{From: j.From, Msg: core.PeerMsg{Kind: j.Kind, Term: j.Term, Ref: j.Ref, Op: j.Op, ID: j.ID, Schedule: j.Schedule, Reports: j.Reports, Replies: j.Replies, Know: j.Know}}
 	switch j.Kind {
 	case kindPing:
 		return in, true, ""
-	case core.PeerLeader, core.PeerAck:
+	case core.PeerCopy, core.PeerAlone:
+		if j.Copy == nil {
+			return in, false, "copy: no line"
+		}
+		line, ok := j.Copy.decode()
+		if !ok {
+			return in, false, "copy: damaged"
+		}
+		in.Msg.Copy = line
+	case core.PeerTell:
+		if k := j.Know; k == nil || j.Term == 0 || j.Term > core.MaxTerm || k.Term > core.MaxTerm || k.CopyTerm > core.MaxTerm {
+			return in, false, "tell: out of range"
+		}
+	case core.PeerLeader, core.PeerAck, core.PeerAsk, core.PeerWant, core.PeerAgain:
 		if j.Term == 0 || j.Term > core.MaxTerm {
 			return in, false, "term: out of range"
 		}
--- /dev/null
+++ b/internal/rebuild/rebuild.go
@@ -0,0 +1,189 @@
+// Package rebuild decides what follows when the state service may have lost data: whether
+// it has (Known), whose copy of the records to go by (Best), and which records there are
+// after all (Merge).
+//
+// It makes no calls and keeps no clock. Package core asks it, and carries out what it says.
+// What must never happen here: that a record which was seen to be there is taken for one
+// that never was, or that an older copy goes above a newer one.
+package rebuild
+
+import (
+	"slices"
+
+	"yewpass/internal/snapshot"
+)
+
+// Known is what a controller has seen of the state service. None of it can become less
+// while the service keeps its data.
+type Known struct {
+	Era  uint64 `json:"era,omitempty"` // drawn anew whenever data was lost, on record with the term
+	Term uint64 `json:"term,omitempty"`
+	Life uint64 `json:"life,omitempty"` // of the process that led it
+	Rev  uint64 `json:"rev,omitempty"`  // of the whole store
+	Old  uint64 `json:"old,omitempty"`  // the highest term of the eras before
+}
+
+// Next returns what is known once another era and its term are on record.
+func (k Known) Next(era, term, life uint64) Known {
+	if era == 0 || era == k.Era || k.Era == 0 {
+		if era != 0 {
+			k.Era = era
+		}
+		if term >= k.Term {
+			k.Term, k.Life = term, life
+		}
+		return k
+	}
+	// Revisions may have begun again, and terms must not have.
+	return Known{Era: era, Term: term, Life: life, Old: max(k.Old, k.Term)}
+}
+
+// Below reports whether terms have begun again: whether the term that a process of that
+// life leads is none above all those that were before it.
+func (k Known) Below(era, term, life uint64) bool {
+	return k.Old >= term || k.Term > term || k.Term == term && (k.Life != life || k.Era != era)
+}
+
+// Found is what a read of the term's record has found.
+type Found struct {
+	Missing   bool
+	Era, Term uint64 // 0 where the record has none or cannot be read
+	Rev       uint64 // of the store, when it was read
+}
+
+// Lost says why what was found shows that data was lost, or "". The revision in k must
+// have been seen before the read was sent; answers overtake each other.
+func (k Known) Lost(f Found) string {
+	switch {
+	case f.Rev > 0 && f.Rev < k.Rev:
+		return "the state service's revision has fallen"
+	case f.Missing && k.Term > 0:
+		return "no term is on record, and one was"
+	case !f.Missing && f.Term > 0 && f.Term < k.Term:
+		return "the term on record is older than one that was"
+	case !f.Missing && f.Era != 0 && k.Era != 0 && f.Era != k.Era && f.Term <= k.Term:
+		return "the era on record is another"
+	}
+	return ""
+}
+
+// With adds what somebody else has seen.
+func (k Known) With(o Known) Known {
+	if o.Term >= k.Term && o.Era != 0 {
+		k.Era = o.Era
+	}
+	if o.Term >= k.Term {
+		k.Life = o.Life
+	}
+	return Known{Era: k.Era, Term: max(k.Term, o.Term), Life: k.Life, Rev: max(k.Rev, o.Rev), Old: max(k.Old, o.Old)}
+}
+
+// Offer is a copy that a controller has, as it says itself.
+type Offer struct {
+	Term, Seq uint64
+	Records   int
+}
+
+// Best returns the place of the offer to go by, or -1: the newest. It may be of a term well
+// before the last one, whose leader has not come to pass a copy on; what has ended since is
+// asked of the service before anything in it is believed to be live.
+func Best(offers []Offer) int {
+	best := -1
+	for i, o := range offers {
+		if o.Term == 0 {
+			continue
+		}
+		if best < 0 || o.Term > offers[best].Term || o.Term == offers[best].Term && o.Seq > offers[best].Seq {
+			best = i
+		}
+	}
+	return best
+}
+
+// Kinds tells what a key is of. Other keys count for themselves.
+type Kinds struct {
+	Job, Final func(key string) (id string, ok bool)  // a job while it is not over, and how it ended
+	Part       func(key string) (job string, ok bool) // progress of a job
+	Machines   func(key string) bool                  // machines that may hold tasks
+
+	// Join makes one value of the service's and the copy's, which is the newer one or
+	// not; differ says that it is not the service's own.
+	Join func(stored, copied any, older bool) (joined any, differ bool)
+}
+
+// Result is what there is after all.
+type Result struct {
+	Records []snapshot.Record // in the order of their keys
+	Writes  []snapshot.Record // of them, what the service does not have so; Rev is what it has, 0 for none
+	Drops   []string          // on record, and long over
+}
+
+// Merge makes one set of records of what the service has and what a copy has. When nothing
+// shows that the service went back in time (older is false) its own values stand and the
+// copy adds what is missing; else the copy's values stand, since they are newer.
+//
+// A job that has ended by either is over: jobs never come back. Machines and progress of
+// both count, since neither can be wrong about what has been.
+func Merge(stored []snapshot.Record, c *snapshot.Copy, older bool, k Kinds) Result {
+	over := map[string]bool{}
+	have := make(map[string]snapshot.Record, len(stored))
+	for _, r := range stored {
+		have[r.Key] = r
+		if id, ok := k.Final(r.Key); ok {
+			over[id] = true
+		}
+	}
+	for _, key := range c.Keys("") {
+		if id, ok := k.Final(key); ok {
+			over[id] = true
+		}
+	}
+	var res Result
+	put := func(key string, value any, rev uint64) {
+		have[key] = snapshot.Record{Key: key, Value: value, Rev: rev}
+		res.Writes = append(res.Writes, have[key])
+	}
+	for _, key := range c.Keys("") {
+		r, _ := c.Get(key)
+		s, stands := have[key]
+		if id, ok := k.Job(key); ok && over[id] {
+			continue
+		}
+		if id, ok := k.Part(key); ok && over[id] {
+			continue
+		}
+		switch {
+		case !stands:
+			put(key, r.Value, 0)
+		case k.Machines(key): // one list may name machines that the other does not
+			if older {
+				put(key+"~", r.Value, 0)
+			}
+		default:
+			if joined, differ := k.Join(s.Value, r.Value, older); differ {
+				put(key, joined, s.Rev)
+			}
+		}
+	}
+	for key, r := range have {
+		id, live := k.Job(key)
+		if part, ok := k.Part(key); ok {
+			id, live = part, true
+		}
+		if live && over[id] {
+			if r.Rev != 0 {
+				res.Drops = append(res.Drops, key)
+			}
+			continue
+		}
+		res.Records = append(res.Records, r)
+	}
+	slices.SortFunc(res.Records, func(a, b snapshot.Record) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	slices.Sort(res.Drops)
+	return res
+}
--- /dev/null
+++ b/internal/scenario/loss_test.go
@@ -0,0 +1,149 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+const losing = `
+seed %d
+nodes 5
+team t max=220
+type s cpus=4 mem=16 rate=0.3 low=0.1 ready=10s fetch=1
+capacity s a n=0 spot=60
+capacity s b n=0 spot=60
+machines s a n=22 spot
+machines s b n=22 spot
+at 2s burst 60 gap=1s tasks=20 run=12s gb=0.5 vary=0.2 cancelled=0.05
+at 5s schedule all at=00:01,00:02,00:03 tasks=3 run=15s catch=all
+`
+
+const whole = `
+run 300s
+expect done all
+expect leaders =1
+expect made all =3
+expect whole all
+`
+
+// TestLoss: the state service loses all of its data, some of it, or goes back to a copy of
+// its own, in the middle of the work, with nobody lost, the leader lost, all but one lost,
+// and again before the rebuild is over. Every accepted job is answered and ends.
+func TestLoss(t *testing.T) {
+	for name, what := range map[string]string{
+		"all":                       "at 40s wipe",
+		"revisions":                 "at 40s wipe rev",
+		"copy":                      "at 15s save; at 40s restore",
+		"all, leader":               "at 40s wipe; at 40s crash leader back=3s",
+		"all, leader back at once":  "at 40s wipe rev; at 40s crash leader back=100ms",
+		"copy, leader":              "at 15s save; at 40s restore; at 40s crash leader back=3s",
+		"outage, revisions":         "at 25s outage state 15s; at 39.9s wipe rev",
+		"outage, copy":              "at 15s save; at 25s outage state 15s; at 39.9s restore",
+		"jobs, leader":              "at 40s wipe under=yewpass/live/job/; at 40.1s crash leader back=3s",
+		"machines, leader":          "at 39s cut 3 30s hold; at 40s wipe under=yewpass/live/machine/; at 40.1s crash leader back=3s",
+		"finals, leader":            "at 40s wipe under=yewpass/final/; at 40.1s crash leader back=3s",
+		"progress, leader":          "at 40s wipe under=yewpass/live/progress/; at 40.1s crash leader back=3s",
+		"schedules, all":            "at 70s wipe under=yewpass/schedule; at 70s wipe under=yewpass/term",
+		"term":                      "at 40s wipe under=yewpass/term",
+		"leader's key":              "at 40s wipe under=yewpass/leader",
+		"twice":                     "at 40s wipe; at 41s wipe rev; at 42s crash leader back=1s; at 43s wipe",
+		"all but one lost":          "at 40s wipe rev; at 40s crash n0 back=9s; at 40s crash n1 back=9s; at 40s crash n2 back=9s; at 40s crash n3 back=9s",
+		"leader cut off":            "at 30s cut leader 20s hold only=state; at 40s wipe",
+		"leaders lost in the midst": "at 40s wipe; at 40.45s crash leader back=1s; at 42s crash leader back=1s",
+		"copy, leaders lost":        "at 15s save; at 40s restore; at 40.45s crash leader back=1s; at 42s crash leader back=1s",
+		"late writes":               "at 39.5s mute leader 2s late=4s; at 40s wipe",
+		"held writes":               "at 38s cut leader 9s hold only=state; at 42s wipe rev",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, fmt.Sprintf(losing, 7)+strings.ReplaceAll(what, "; ", "\n")+whole)
+		})
+	}
+}
+
+// TestLossEverywhere: data is lost after each single change of the state service in turn,
+// all of it and one prefix at a time, with and without the leader.
+func TestLossEverywhere(t *testing.T) {
+	for _, under := range []string{"", "yewpass/live/job/", "yewpass/live/machine/", "yewpass/live/progress/", "yewpass/final/", "yewpass/term"} {
+		for _, lost := range []string{"", "crash leader back=100ms", "crash leader back=4s"} {
+			t.Run(under+" "+lost, func(t *testing.T) {
+				t.Parallel()
+				for n := 3; ; n++ {
+					s, err := read(few(5, 3) + `
+team t max=9
+at 1s submit wk-1 run=3s tasks=6
+at 2s submit wk-2 run=30s tasks=2
+at 4s submit wk-3 run=2s tasks=4
+at 7s cancel wk-2
+run 90s
+expect over
+expect done wk-1
+expect done wk-3
+expect leaders =1
+`)
+					if err != nil {
+						t.Fatal(err)
+					}
+					s.begin()
+					for s.store.puts < n && s.step(s.start.Add(s.end)) {
+					}
+					if s.store.puts < n {
+						t.Logf("%d moments", n-3)
+						return
+					}
+					s.store.wipe(under, false)
+					if lost != "" {
+						s.act(strings.Fields(lost))
+					}
+					s.run(s.end)
+					res := s.result()
+					for _, x := range append(res.Violations, res.Unmet...) {
+						t.Errorf("after change %d: %s", n, x)
+					}
+					if t.Failed() {
+						return
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestRandomLoss plays mixes of faults with losses among them. Somebody always lives who
+// was there: without any memory, and without any record, nothing is left to rebuild from.
+func TestRandomLoss(t *testing.T) {
+	kinds := []string{
+		"wipe", "wipe rev", "wipe under=yewpass/live/", "wipe under=yewpass/live/job/", "wipe under=yewpass/live/machine/", "wipe under=yewpass/final/", "wipe under=yewpass/term", "wipe under=yewpass/leader", "restore",
+		"crash leader", "crash leader back=100ms", "crash follower back=100ms", "crash n1 back=2s", "roll 6s", "outage state 8s", "deny leader 9s",
+		"cut leader 12s hold", "cut leader 9s hold only=state", "cut 2 30s hold", "cut 2 40s reset", "cut zone=a 25s hold", "hang 2 45s",
+		"mute leader 2s late=4s", "stall leader 15s", "stall follower 20s", "flap leader 4s every=1500ms", "restart 3 back=50ms", "take 4",
+	}
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 6))
+			var sb strings.Builder
+			fmt.Fprintf(&sb, losing, seed)
+			for i := range 3 + rng.IntN(4) {
+				at, kind := 10+rng.IntN(80), kinds[rng.IntN(len(kinds))]
+				if i == 0 {
+					kind = kinds[rng.IntN(9)]
+				}
+				if kind == "restore" {
+					fmt.Fprintf(&sb, "at %ds save\n", max(1, at-1-rng.IntN(30)))
+				}
+				fmt.Fprintf(&sb, "at %ds %s\n", at, kind)
+				if rng.IntN(2) == 0 {
+					fmt.Fprintf(&sb, "at %d.%03ds crash leader back=%dms\n", at, rng.IntN(1000), 50+rng.IntN(4000))
+				}
+			}
+			sb.WriteString(whole)
+			if testing.Verbose() {
+				t.Log(sb.String())
+			}
+			play(t, sb.String())
+		})
+	}
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -522,6 +522,12 @@
 		case "cloud":
 			w.cloud.down = w.now.Add(span(f[2]))
 		}
+	case "wipe": // wipe [under=PREFIX] [rev]: the state service loses keys; rev: and begins again
+		w.store.wipe(args(f[1:])["under"], args(f[1:])["rev"] != "")
+	case "save": // save: what a later restore brings back
+		w.saved = w.store.save()
+	case "restore":
+		w.saved()
 	case "deaf": // the cloud answers releases and carries none out
 		w.cloud.deaf = w.now.Add(span(f[1]))
 	case "deny": // only this node gets 503 from the state service
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -210,7 +210,7 @@
 	}
 	parts := strings.Split(u.Path, "/")
 	switch {
-	case u.Path == "/multi" && s.now.Before(s.muted[node].until):
+	case u.Path == "/multi" && len(t.Then) > 0 && s.now.Before(s.muted[node].until):
 		s.after(s.muted[node].late, func() { s.multi(&t, func(int, []byte) {}) })
 	case u.Path == "/multi":
 		s.multi(&t, answer)
@@ -313,6 +313,33 @@
 	return bad == ""
 }
 
+// wipe loses keys without a word; with revisions and grants it begins again from nothing.
+func (s *store) wipe(under string, rev bool) {
+	for _, k := range s.sorted(under) {
+		delete(s.keys, k)
+	}
+	if rev {
+		s.rev, s.log = 0, nil
+		clear(s.grants)
+	}
+}
+
+// save returns what puts back the keys as they are now, without grants; revisions then go
+// on from where they are now.
+func (s *store) save() (restore func()) {
+	keys, rev := map[string]storedKey{}, s.rev
+	for k, e := range s.keys {
+		keys[k] = storedKey{e.value, e.rev, 0}
+	}
+	return func() {
+		s.keys, s.rev, s.log = map[string]*storedKey{}, rev, nil
+		for k, e := range keys {
+			s.keys[k] = &e
+		}
+		clear(s.grants)
+	}
+}
+
 func (s *store) multi(t *txn, answer func(int, []byte)) {
 	for _, w := range t.Then {
 		if w.Grant != 0 && s.grants[w.Grant] == nil {
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,243 @@
+// Package snapshot keeps a copy of what the state service holds: the leader's own, and
+// those that it passes on to other controllers, as one base and then changes.
+//
+// It knows neither sockets nor encodings: package peer puts lines on the wire, with a
+// checksum each. What must never happen here: that a copy counts as whole which lacks a
+// line, has one twice, or has lines of two streams.
+package snapshot
+
+import (
+	"errors"
+	"hash/fnv"
+	"slices"
+	"strings"
+)
+
+// Record is a key of the state service with its value, which must not be changed.
+type Record struct {
+	Key   string
+	Value any
+	Rev   uint64 // at which the service has it; 0: it is not known to have it
+}
+
+// Copy is a copy of the records, as the leader of a term has left them.
+type Copy struct {
+	Era  uint64 // of the state service's data, see package rebuild
+	Term uint64 // whose leader it is of
+	Seq  uint64 // changes since that term began: of two copies of a term the higher is newer
+
+	recs  map[string]*Record
+	spare string   // prefix of records of which only the latest are kept
+	most  int      // so many
+	order []string // theirs, the oldest first
+}
+
+// New returns an empty copy, in which at most so many records with the prefix spare are
+// kept: the latest.
+func New(era, term uint64, spare string, most int) *Copy {
+	return &Copy{Era: era, Term: term, recs: map[string]*Record{}, spare: spare, most: most}
+}
+
+// Put takes in a record.
+func (c *Copy) Put(key string, value any, rev uint64) {
+	if r := c.recs[key]; r != nil {
+		r.Value, r.Rev = value, rev
+		return
+	}
+	c.recs[key] = &Record{key, value, rev}
+	if !strings.HasPrefix(key, c.spare) {
+		return
+	}
+	c.order = append(c.order, key)
+	for len(c.order) > c.most {
+		delete(c.recs, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+// Drop takes a record out.
+func (c *Copy) Drop(key string) {
+	if c.recs[key] == nil {
+		return
+	}
+	delete(c.recs, key)
+	if strings.HasPrefix(key, c.spare) {
+		c.order = slices.DeleteFunc(c.order, func(k string) bool { return k == key })
+	}
+}
+
+// Inherit takes over the spare records of a copy before this one, as the oldest: what has
+// ended never changes, and a leader that began with little memory knows of less of it.
+func (c *Copy) Inherit(before *Copy) {
+	if before == nil || before == c {
+		return
+	}
+	var older []string
+	for _, k := range before.order {
+		if c.recs[k] == nil {
+			older = append(older, k)
+		}
+	}
+	older = older[max(0, len(older)+len(c.order)-c.most):]
+	for _, k := range older {
+		r := before.recs[k]
+		c.recs[k] = &Record{k, r.Value, 0}
+	}
+	c.order = append(older, c.order...)
+}
+
+// Get returns the record of a key.
+func (c *Copy) Get(key string) (Record, bool) {
+	if r := c.recs[key]; r != nil {
+		return *r, true
+	}
+	return Record{}, false
+}
+
+// Len is how many records there are.
+func (c *Copy) Len() int { return len(c.recs) }
+
+// Keys returns the keys with a prefix in their order.
+func (c *Copy) Keys(prefix string) []string {
+	ks := make([]string, 0, len(c.recs))
+	for k := range c.recs {
+		if strings.HasPrefix(k, prefix) {
+			ks = append(ks, k)
+		}
+	}
+	slices.Sort(ks)
+	return ks
+}
+
+// Digest tells sets of keys apart: two copies whose digests are equal have the same keys.
+type Digest struct {
+	Count int    `json:"c"`
+	Hash  uint64 `json:"h"`
+}
+
+// Add takes a key into a digest, in any order.
+func (d *Digest) Add(key string) {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	d.Count++
+	d.Hash ^= h.Sum64()
+}
+
+// Digest returns the digest of the keys with a prefix.
+func (c *Copy) Digest(prefix string) (d Digest) {
+	for k := range c.recs {
+		if strings.HasPrefix(k, prefix) {
+			d.Add(k)
+		}
+	}
+	return d
+}
+
+// Newer reports whether c is to be preferred to another copy, which may be nil.
+func (c *Copy) Newer(than *Copy) bool {
+	return c != nil && (than == nil || c.Term > than.Term || c.Term == than.Term && c.Seq > than.Seq)
+}
+
+// Line is a part of a copy on its way to who holds one.
+type Line struct {
+	Era     uint64   // of the copy
+	Term    uint64   // of the copy
+	Session uint64   // one stream of lines; never 0
+	Number  uint64   // 1, 2, 3… within it; the first begins a copy anew
+	Seq     uint64   // of the copy, with this line
+	Whole   bool     // with this line, or one before it, the base is complete
+	Puts    []Record // a record's Rev goes along
+	Drops   []string
+}
+
+// Sender is the leader's end of a stream to one holder.
+type Sender struct {
+	session, number uint64
+	keys            []string // of the base, that have not gone
+	whole           bool
+}
+
+// NewSender begins a stream, whose number must not have been used before.
+func NewSender(session uint64, c *Copy) *Sender {
+	return &Sender{session: session, keys: c.Keys("")}
+}
+
+// Session returns the number of the stream.
+func (s *Sender) Session() uint64 { return s.session }
+
+// Whole reports whether the whole base has gone out.
+func (s *Sender) Whole() bool { return s.whole }
+
+// Base returns the next part of the base, of at most so many records, until there is none.
+func (s *Sender) Base(c *Copy, most int) (l Line, more bool) {
+	if s.whole {
+		return Line{}, false
+	}
+	n := min(most, len(s.keys))
+	for _, k := range s.keys[:n] {
+		if r, ok := c.Get(k); ok { // as it is now; what was dropped meanwhile is gone
+			l.Puts = append(l.Puts, r)
+		}
+	}
+	s.keys = s.keys[n:]
+	s.whole = len(s.keys) == 0
+	return s.next(c, l), true
+}
+
+// Change returns the line that tells of a change the copy has just taken in.
+func (s *Sender) Change(c *Copy, puts []Record, drops []string) Line {
+	return s.next(c, Line{Puts: puts, Drops: drops})
+}
+
+func (s *Sender) next(c *Copy, l Line) Line {
+	s.number++
+	l.Era, l.Term, l.Session, l.Number, l.Seq, l.Whole = c.Era, c.Term, s.session, s.number, c.Seq, s.whole
+	return l
+}
+
+// Holder is the other end: it keeps the last copy that was whole until the next one is.
+type Holder struct {
+	session, number uint64
+	coming          *Copy
+	whole           *Copy
+}
+
+// ErrOrder says that a line does not follow the one before: the copy is not whole, and
+// has to be sent anew.
+var ErrOrder = errors.New("lines of the copy are missing")
+
+// Copy returns the last whole copy, or nil.
+func (h *Holder) Copy() *Copy { return h.whole }
+
+// Take takes in a line; spare and most are as for New.
+func (h *Holder) Take(l *Line, spare string, most int) error {
+	if l.Number == 1 && l.Session != 0 && l.Session != h.session {
+		if h.whole != nil && l.Term < h.whole.Term {
+			return nil // of a leader before the one whose copy this is
+		}
+		h.session, h.number, h.coming = l.Session, 0, New(l.Era, l.Term, spare, most)
+	}
+	c := h.coming
+	if c == nil || l.Session != h.session || l.Number != h.number+1 || l.Term != c.Term || l.Era != c.Era || l.Seq < c.Seq {
+		if l.Session == h.session && l.Number <= h.number || h.whole != nil && l.Term < h.whole.Term {
+			return nil // once more, or older than what there is
+		}
+		h.coming = nil
+		if h.whole != nil && l.Session == h.session {
+			h.session = 0 // what is whole stays as it is
+		}
+		return ErrOrder
+	}
+	h.number, c.Seq = l.Number, l.Seq
+	for _, r := range l.Puts {
+		c.Put(r.Key, r.Value, r.Rev)
+	}
+	for _, k := range l.Drops {
+		c.Drop(k)
+	}
+	if l.Whole && h.whole != c {
+		c.Inherit(h.whole)
+		h.whole = c
+	}
+	return nil
+}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -262,6 +262,7 @@
 	Node string `json:"node,omitempty"`
 	Term uint64 `json:"term"`
 	Life uint64 `json:"life,omitempty"`
+	Era  uint64 `json:"era,omitempty"`
 }
 
 // scheduleJSON is a schedule. Times are in milliseconds, 0 where unknown.
@@ -366,6 +367,17 @@
 	return s, s.Sound()
 }
 
+// EncodeRecord writes a record's value as the state service has it.
+func EncodeRecord(v any) json.RawMessage {
+	data, _ := json.Marshal(encodeValue(v)) // plain structs of ours: cannot fail
+	return data
+}
+
+// DecodeRecord reads what EncodeRecord has written; nil for what is no record of ours.
+func DecodeRecord(key string, data json.RawMessage) any {
+	return decodeEntry(entryJSON{K: key, V: data}).Value
+}
+
 func encodeValue(v any) any {
 	switch v := v.(type) {
 	case *core.JobRecord:
@@ -381,9 +393,9 @@
 		}
 		return m
 	case *core.LeaderRecord:
-		return leaderJSON{"leader", v.Node, v.Term, v.Life}
+		return leaderJSON{"leader", v.Node, v.Term, v.Life, v.Era}
 	case *core.TermRecord:
-		return leaderJSON{"term", "", v.Term, 0}
+		return leaderJSON{"term", "", v.Term, 0, v.Era}
 	case *schedule.Record:
 		return encodeSchedule(v)
 	case *core.NumberRecord:
@@ -438,12 +450,12 @@
 	case "leader":
 		var l leaderJSON
 		if json.Unmarshal(e.V, &l) == nil && l.Node != "" && l.Term > 0 && l.Term <= core.MaxTerm {
-			out.Value = &core.LeaderRecord{Node: l.Node, Term: l.Term, Life: l.Life}
+			out.Value = &core.LeaderRecord{Node: l.Node, Term: l.Term, Life: l.Life, Era: l.Era}
 		}
 	case "term":
 		var l leaderJSON
 		if json.Unmarshal(e.V, &l) == nil && l.Term > 0 && l.Term <= core.MaxTerm {
-			out.Value = &core.TermRecord{Term: l.Term}
+			out.Value = &core.TermRecord{Term: l.Term, Era: l.Era}
 		}
 	case "schedule":
 		var j scheduleJSON
