--- a/internal/core/rebuild.go
+++ b/internal/core/rebuild.go
@@ -619,11 +619,15 @@
 		if !q.decodeChunk(0, chunkTasks, y.Ranges) {
 			return x, false
 		}
+		more := false // by members: the same ones may be written in more than one way
 		for i := range p {
+			more = more || q[i]&^p[i] != 0
 			p[i] |= q[i]
 		}
-		joined := p.encodeChunk(0)
-		return &ProgressRecord{joined}, joined != x.Ranges
+		if !more {
+			return x, false
+		}
+		return &ProgressRecord{p.encodeChunk(0)}, true
 	case *JobRecord:
 		x, _ := stored.(*JobRecord)
 		if x == nil {
@@ -856,6 +860,25 @@
 	c.whenLeading(copyEvery, c.loadSchedulesSoon)
 }
 
+// missingSchedules has schedules written back that the copy we have gone by has, and the
+// service has not.
+func (c *Core) missingSchedules() {
+	own := c.ownCopy()
+	if own == nil {
+		return
+	}
+	for _, key := range own.Keys(scheduleKeys) {
+		r, _ := own.Get(key)
+		rec, _ := r.Value.(*schedule.Record)
+		if r.Rev != 0 || rec == nil || c.lead.sched.byName[strings.TrimPrefix(key, scheduleKeys)] != nil {
+			continue
+		}
+		c.note(slog.LevelError, "a schedule is missing that a copy has, it is written back", "key", key)
+		c.lead.pipe.add(&change{size: rec.Size(), when: []Cond{{key, 0}}, writes: []Write{{Key: key, Value: rec}},
+			done: func(rev uint64) { c.loadSchedule(Entry{Key: key, Value: rec, Rev: rev}) }})
+	}
+}
+
 // unsure reports whether a job that nobody knows may be one that was lost.
 func (l *leadership) unsure(now time.Time) bool {
 	return l.rebuild != nil && now.Sub(l.rebuild.since) < unknownFor || l.fresh && now.Sub(l.since) < 5*askFirst
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -101,6 +101,7 @@
 			return
 		}
 		c.lead.sched.loaded = true
+		c.missingSchedules()
 		if n := len(c.lead.sched.names); n > 0 {
 			c.note(slog.LevelInfo, "schedules read", "term", c.lead.term, "schedules", n)
 			c.resolveNext()
--- a/internal/scenario/loss_test.go
+++ b/internal/scenario/loss_test.go
@@ -46,6 +46,7 @@
 		"finals, leader":            "at 40s wipe under=yewpass/final/; at 40.1s crash leader back=3s",
 		"progress, leader":          "at 40s wipe under=yewpass/live/progress/; at 40.1s crash leader back=3s",
 		"schedules, all":            "at 70s wipe under=yewpass/schedule; at 70s wipe under=yewpass/term",
+		"schedules, leader":         "at 50s wipe under=yewpass/schedule/; at 50.1s crash leader back=3s",
 		"term":                      "at 40s wipe under=yewpass/term",
 		"leader's key":              "at 40s wipe under=yewpass/leader",
 		"twice":                     "at 40s wipe; at 41s wipe rev; at 42s crash leader back=1s; at 43s wipe",
