--- /dev/null
+++ b/internal/rebuild/rebuild_test.go
@@ -0,0 +1,80 @@
+package rebuild
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"yewpass/internal/snapshot"
+)
+
+// TestLost: each sign of a loss is one, and none is seen where nothing was lost.
+func TestLost(t *testing.T) {
+	k := Known{Era: 5, Term: 7, Rev: 100}
+	for _, x := range []struct {
+		found Found
+		lost  bool
+	}{
+		{Found{Era: 5, Term: 7, Rev: 100}, false},
+		{Found{Era: 5, Term: 9, Rev: 140}, false},
+		{Found{Era: 6, Term: 8, Rev: 101}, false}, // somebody has found a loss, and leads
+		{Found{Missing: true, Rev: 100}, true},
+		{Found{Era: 5, Term: 6, Rev: 100}, true},
+		{Found{Era: 5, Term: 7, Rev: 99}, true},
+		{Found{Era: 4, Term: 7, Rev: 100}, true},
+		{Found{}, false}, // unreadable
+	} {
+		if why := k.Lost(x.found); (why != "") != x.lost {
+			t.Errorf("%+v: %q", x.found, why)
+		}
+	}
+	if why := (Known{}).Lost(Found{Missing: true}); why != "" {
+		t.Errorf("a first start: %q", why)
+	}
+	next := k.Next(6, 3, 1)
+	if next.Rev != 0 || next.Old != 7 || !next.Below(6, 3, 1) || k.Next(5, 8, 1).Below(5, 8, 1) || !k.Next(5, 8, 1).Below(5, 8, 2) {
+		t.Errorf("%+v", next)
+	}
+}
+
+// TestMerge: a job that is over by either side is over; the rest is what the newer has.
+func TestMerge(t *testing.T) {
+	kinds := Kinds{
+		Job:      func(k string) (string, bool) { return strings.CutPrefix(k, "j/") },
+		Final:    func(k string) (string, bool) { return strings.CutPrefix(k, "f/") },
+		Part:     func(k string) (string, bool) { return strings.CutPrefix(k, "p/") },
+		Machines: func(k string) bool { return strings.HasPrefix(k, "m/") },
+		Join:     func(s, c any, older bool) (any, bool) { return c, older && s != c },
+	}
+	c := snapshot.New(1, 2, "f/", 9)
+	for k, v := range map[string]string{"j/live": "new", "j/lost": "new", "f/over": "done", "p/lost": "new", "m/1": "b"} {
+		c.Put(k, v, 50)
+	}
+	stored := []snapshot.Record{{Key: "j/live", Value: "old", Rev: 3}, {Key: "j/over", Value: "old", Rev: 4}, {Key: "p/over", Value: "old", Rev: 4},
+		{Key: "m/1", Value: "a", Rev: 5}, {Key: "j/alone", Value: "new", Rev: 6}}
+	for _, older := range []bool{false, true} {
+		res := Merge(stored, c, older, kinds)
+		got := map[string]string{}
+		for _, r := range res.Records {
+			got[r.Key] = r.Value.(string)
+		}
+		live := "old"
+		if older {
+			live = "new"
+		}
+		if got["j/live"] != live || got["j/lost"] != "new" || got["p/lost"] != "new" || got["j/alone"] != "new" || got["j/over"] != "" || got["p/over"] != "" {
+			t.Errorf("older %v: %v", older, got)
+		}
+		if older != (got["m/1~"] == "b") || got["m/1"] != "a" {
+			t.Errorf("older %v: machines %v", older, got)
+		}
+		if !slices.Equal(res.Drops, []string{"j/over", "p/over"}) {
+			t.Errorf("older %v: drops %v", older, res.Drops)
+		}
+		for _, w := range res.Writes {
+			if s := slices.IndexFunc(stored, func(r snapshot.Record) bool { return r.Key == w.Key }); (s < 0) != (w.Rev == 0) {
+				t.Errorf("older %v: %s is written at revision %d", older, w.Key, w.Rev)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,125 @@
+package snapshot
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// same reports whether two copies hold the same records.
+func same(a, b *Copy) bool {
+	if a == nil || b == nil || !slices.Equal(a.Keys(""), b.Keys("")) {
+		return false
+	}
+	for _, k := range a.Keys("") {
+		x, _ := a.Get(k)
+		y, _ := b.Get(k)
+		if x.Value != y.Value {
+			return false
+		}
+	}
+	return true
+}
+
+// TestStream: whatever changes while a base goes out, and whichever lines are lost, doubled
+// or swapped, a holder's copy is whole and the same, or it is the last one that was.
+func TestStream(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		c := New(1, 7, "f/", 1000)
+		change := func() (puts []Record, drops []string) {
+			k := fmt.Sprintf("%c/%d", "jf"[rng.IntN(2)], rng.IntN(30))
+			if _, ok := c.Get(k); ok && k[0] == 'j' && rng.IntN(2) == 0 { // spare ones are never dropped
+				c.Drop(k)
+				drops = []string{k}
+			} else {
+				c.Put(k, rng.Uint64(), 9)
+				r, _ := c.Get(k)
+				puts = []Record{r}
+			}
+			c.Seq++
+			return puts, drops
+		}
+		for range 40 {
+			change()
+		}
+		var h Holder
+		session := uint64(1)
+		s := NewSender(session, c)
+		again := false
+		var late *Line
+		for step := range 200 {
+			var l Line
+			if part, more := s.Base(c, 1+rng.IntN(5)); more && rng.IntN(2) == 0 {
+				l = part
+			} else if more {
+				// The part is lost on the way.
+				again = true
+				l = s.Change(c, nil, nil)
+			} else {
+				puts, drops := change()
+				l = s.Change(c, puts, drops)
+			}
+			damaged := rng.IntN(9) == 0 && step < 150
+			switch {
+			case damaged && rng.IntN(2) == 0: // lost
+				late = &l
+			case damaged: // twice
+				h.Take(&l, "f/", 1000)
+				fallthrough
+			default:
+				if late != nil && rng.IntN(3) == 0 {
+					h.Take(late, "f/", 1000)
+					late = nil
+				}
+				again = h.Take(&l, "f/", 1000) != nil || again
+			}
+			if again {
+				session++
+				s, again = NewSender(session, c), false
+			}
+		}
+		for {
+			l, more := s.Base(c, 50)
+			if !more {
+				break
+			}
+			h.Take(&l, "f/", 1000)
+		}
+		puts, drops := change()
+		l := s.Change(c, puts, drops)
+		if h.Take(&l, "f/", 1000) != nil {
+			s = NewSender(session+1, c)
+			l, _ = s.Base(c, 1000)
+			if err := h.Take(&l, "f/", 1000); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+		if !same(h.Copy(), c) {
+			t.Fatalf("seed %d: the copies differ", seed)
+		}
+	}
+}
+
+// TestSpare: of spare records the latest are kept, and they pass on to the next copy.
+func TestSpare(t *testing.T) {
+	a, b := New(1, 1, "f/", 3), New(1, 2, "f/", 3)
+	for i := range 5 {
+		a.Put(fmt.Sprint("f/", i), i, 1)
+	}
+	b.Put("f/9", 9, 1)
+	b.Inherit(a)
+	if got := b.Keys(""); !slices.Equal(got, []string{"f/3", "f/4", "f/9"}) {
+		t.Errorf("%q", got)
+	}
+	old, next := New(1, 1, "f/", 3), Holder{}
+	s := NewSender(5, b)
+	l, _ := s.Base(b, 9)
+	next.Take(&l, "f/", 3)
+	s = NewSender(6, old)
+	l, _ = s.Base(old, 9)
+	if next.Take(&l, "f/", 3); next.Copy().Term != 2 {
+		t.Error("an older copy takes the place of a newer one")
+	}
+}
