Lines of a copy are bounded by bytes, not by records alone

Cause: records of machines fill up to three quarters of a value; 200 records in a line could be more than a peer reads of one, which closes the link each time the base is sent. Change: 96 KiB a line by an estimate of each record.

--- a/internal/core/rebuild.go
+++ b/internal/core/rebuild.go
@@ -18,6 +18,7 @@
 	copyEvery     = 100 * time.Millisecond // a part of the base goes out
 	copyPart      = 200                    // records, to all that lack them together
 	copyPartEager = 200                    // to a new leader that waits for them
+	copyBytes     = 96 << 10               // of one line, well below what a peer reads of one
 	askEvery      = 100 * time.Millisecond
 	emptyLater    = 150 * time.Millisecond
 	askWithin     = 300 * time.Millisecond // peers are left to answer a new leader
@@ -48,6 +49,25 @@
 	return max(4096, int(c.cfg.Settings.Limits.MemMB*finalsPerMB))
 }
 
+// copySize estimates the bytes of a record in a line, with room to spare.
+func copySize(r snapshot.Record) int {
+	n := 100 + len(r.Key)
+	switch v := r.Value.(type) {
+	case *JobRecord:
+		n += recordSize(&v.Spec)
+	case *MachineRecord:
+		for i := range v.Machines {
+			m := &v.Machines[i]
+			n += 90 + len(m.Host) + 6*(len(m.Address)+len(m.Flavor)+len(m.Zone))
+		}
+	case *ProgressRecord:
+		n += len(v.Ranges)
+	case *schedule.Record:
+		n += v.Size()
+	}
+	return n
+}
+
 // bestCopy returns the newest copy that this process has, or nil.
 func (c *Core) bestCopy() *snapshot.Copy {
 	best := c.copies.own
@@ -216,7 +236,7 @@
 	}
 	for _, s := range c.cfg.Seeds {
 		if h := l.holders[s.HostName]; h != nil {
-			if line, more := h.Base(c.copies.own, max(1, copyPart/max(1, lacking))); more {
+			if line, more := h.Base(c.copies.own, max(1, copyPart/max(1, lacking)), copyBytes, copySize); more {
 				c.sendCopy(s.HostName, line)
 				l.copying = true
 			}
@@ -305,7 +325,7 @@
 	if c.copies.lends[name] != x {
 		return
 	}
-	line, more := x.sender.Base(x.copy, copyPartEager)
+	line, more := x.sender.Base(x.copy, copyPartEager, copyBytes, copySize)
 	if !more || c.lead != nil && c.lead.gather == nil {
 		delete(c.copies.lends, name)
 		return
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -168,16 +168,22 @@
 // Whole reports whether the whole base has gone out.
 func (s *Sender) Whole() bool { return s.whole }
 
-// Base returns the next part of the base, of at most so many records, until there is none.
-func (s *Sender) Base(c *Copy, most int) (l Line, more bool) {
+// Base returns the next part of the base, until there is none: at most so many records, of
+// at most so many bytes together by what size says of each, but one at the least.
+func (s *Sender) Base(c *Copy, most, bytes int, size func(Record) int) (l Line, more bool) {
 	if s.whole {
 		return Line{}, false
 	}
-	n := min(most, len(s.keys))
-	for _, k := range s.keys[:n] {
-		if r, ok := c.Get(k); ok { // as it is now; what was dropped meanwhile is gone
-			l.Puts = append(l.Puts, r)
+	n := 0
+	for ; n < min(most, len(s.keys)); n++ {
+		r, ok := c.Get(s.keys[n])
+		if !ok {
+			continue // dropped meanwhile; what is there goes as it is now
 		}
+		if bytes -= size(r); bytes < 0 && len(l.Puts) > 0 {
+			break
+		}
+		l.Puts = append(l.Puts, r)
 	}
 	s.keys = s.keys[n:]
 	s.whole = len(s.keys) == 0
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -22,6 +22,8 @@
 	return true
 }
 
+func ten(Record) int { return 10 }
+
 // TestStream: whatever changes while a base goes out, and whichever lines are lost, doubled
 // or swapped, a holder's copy is whole and the same, or it is the last one that was.
 func TestStream(t *testing.T) {
@@ -51,7 +53,7 @@
 		var late *Line
 		for step := range 200 {
 			var l Line
-			if part, more := s.Base(c, 1+rng.IntN(5)); more && rng.IntN(2) == 0 {
+			if part, more := s.Base(c, 1+rng.IntN(5), 100, ten); more && rng.IntN(2) == 0 {
 				l = part
 			} else if more {
 				// The part is lost on the way.
@@ -81,7 +83,7 @@
 			}
 		}
 		for {
-			l, more := s.Base(c, 50)
+			l, more := s.Base(c, 50, 100, ten)
 			if !more {
 				break
 			}
@@ -91,7 +93,7 @@
 		l := s.Change(c, puts, drops)
 		if h.Take(&l, "f/", 1000) != nil {
 			s = NewSender(session+1, c)
-			l, _ = s.Base(c, 1000)
+			l, _ = s.Base(c, 1000, 1<<20, ten)
 			if err := h.Take(&l, "f/", 1000); err != nil {
 				t.Fatalf("seed %d: %v", seed, err)
 			}
@@ -115,11 +117,37 @@
 	}
 	old, next := New(1, 1, "f/", 3), Holder{}
 	s := NewSender(5, b)
-	l, _ := s.Base(b, 9)
+	l, _ := s.Base(b, 9, 100, ten)
 	next.Take(&l, "f/", 3)
 	s = NewSender(6, old)
-	l, _ = s.Base(old, 9)
+	l, _ = s.Base(old, 9, 100, ten)
 	if next.Take(&l, "f/", 3); next.Copy().Term != 2 {
 		t.Error("an older copy takes the place of a newer one")
 	}
 }
+
+// TestPart: no line is larger than asked for, however large the records, and none is empty
+// while there is more.
+func TestPart(t *testing.T) {
+	c := New(1, 1, "f/", 3)
+	for i := range 50 {
+		c.Put(fmt.Sprintf("m/%02d", i), 1+i*7%40, 1)
+	}
+	s, n := NewSender(5, c), 0
+	for {
+		l, more := s.Base(c, 20, 64, func(r Record) int { return r.Value.(int) })
+		if !more {
+			break
+		}
+		sum := 0
+		for _, r := range l.Puts {
+			sum += r.Value.(int)
+		}
+		if n += len(l.Puts); len(l.Puts) == 0 || len(l.Puts) > 1 && sum > 64 || len(l.Puts) > 20 {
+			t.Fatalf("%d records of %d bytes", len(l.Puts), sum)
+		}
+	}
+	if n != 50 {
+		t.Errorf("%d records", n)
+	}
+}
