What a leader has only begun to cancel is stopped, and nothing older is said of it

Cause, two rules broken in scenario cancel-begun on the sources before: a cancellation is applied and its answer lost while the leader's peers cannot reach it. They read the record and tell users `cancelled`; the leader goes on renewing leases without a stop (ran_cancelled after an outage of the state service longer than cancel_s) and says `running` (went_back).

Stops go out as soon as a cancellation is begun, with authority and without; questions about a job whose end may be on record wait for it, 0.6 s at most. internal/lapse holds the bound from the confirmation to the last task; the hold also ends by the time of day, for a steady clock that stood still; where cancel_s is no longer than a lease the record waits until tasks are gone in time, and the operator is told.

Scenarios: cut only=... now concerns the other side alone (a leader named among all nodes was cut from everything), words late_writes, late_reports, machine_deaf, slow_state; a job without an answer for 75 s after the last trouble is forgotten; largest jobs are served and begin; `met` asserts that a meeting came about.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 
 	"yewpass/internal/calendar"
 	"yewpass/internal/config"
+	"yewpass/internal/lapse"
 	"yewpass/internal/policy"
 	"yewpass/internal/rebuild"
 )
@@ -32,19 +33,14 @@
 	numberKey    = rootKey + "schedules" // the numbers given to schedules
 )
 
-// Times of the leader's grant. The protocol bounds the drift of steady clocks
-// at 0.05%; margins below take twice that.
+// Times of the leader's grant.
 const (
 	grantTTL    = 2 * time.Second
 	renewEvery  = 400 * time.Millisecond
 	storeWithin = 1500 * time.Millisecond
-	driftPart   = 1000 // a thousandth
-	slack       = 200 * time.Millisecond
 )
 
-// withDrift returns d as a clock that runs up to 0.05% slower must measure it,
-// plus some slack, to be sure that d has passed on another machine.
-func withDrift(d time.Duration) time.Duration { return d + d/driftPart + slack }
+func withDrift(d time.Duration) time.Duration { return lapse.WithDrift(d) }
 
 // Core is one controller.
 type Core struct {
@@ -88,7 +84,8 @@
 	stateUp      bool
 	served       time.Time // when the state service last served us
 
-	report, lease, hold time.Duration
+	report, lease time.Duration
+	times         lapse.Times
 }
 
 // New returns a controller that has not begun; give it a Tick to begin.
@@ -109,11 +106,7 @@
 	lives := rand.New(rand.NewPCG(seed, seed^0xd1b54a32d192ed03))
 	c.life = lives.Uint64()>>11 | 1 // what JSON readers of any kind take whole
 	c.ref = lives.Uint64N(1 << 48)
-	// A leader without authority goes on answering reports for this long, so
-	// that tasks outlive an outage. It must end early enough that a task whose
-	// job was cancelled under a successor is gone in time: the successor's
-	// grant, then the hold, then the worker's lease.
-	c.hold = max(0, cfg.Settings.Workers.Cancel.Duration()-withDrift(c.lease)-grantTTL-1500*time.Millisecond)
+	c.times = lapse.Times{Grant: grantTTL, Lease: c.lease, Cancel: cfg.Settings.Workers.Cancel.Duration()}
 	return c
 }
 
@@ -125,6 +118,9 @@
 	c.out = c.out[:0]
 	if first {
 		c.began = now
+		if short := c.times.Short(); short != "" {
+			c.note(slog.LevelWarn, "settings leave little room", "field", "workers.cancel_s", "lease", c.lease, "cancel", c.times.Cancel, "effect", short)
+		}
 		c.watch()
 		if len(c.cfg.Seeds) > 0 {
 			c.relayTick()
@@ -307,16 +303,13 @@
 
 // Leads reports whether the node leads and has authority at the given time.
 func (c *Core) Leads(now time.Time) bool {
-	return c.lead != nil && now.Before(c.lead.until) && c.ahead(now)-c.lead.ahead < clockJump
+	return c.lead != nil && now.Before(c.lead.until) && c.ahead(now)-c.lead.ahead < lapse.Jump
 }
 
-// clockJump is by how much the time of day may run ahead of the steady clock between
-// renewals. A machine that was put to sleep wakes with a steady clock that has stood
-// still: by that it would still lead, long after its grant. A time of day that is set
-// costs no more than the time to the next renewal.
-const clockJump = time.Second
-
-// ahead is how far the time of day has run ahead of the steady clock so far.
+// ahead is how far the time of day has run ahead of the steady clock so far. A machine that
+// was put to sleep wakes with a steady clock that has stood still: by that it would still
+// lead, long after its grant. A time of day that is set costs no more than the time to the
+// next renewal.
 func (c *Core) ahead(now time.Time) time.Duration {
 	return now.Round(0).Add(c.wander).Sub(c.began.Round(0)) - now.Sub(c.began)
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -33,10 +33,11 @@
 	chunkRev map[int]uint64
 	dirty    map[int]bool // chunks with news not yet on their way
 
-	cancelling bool // a cancellation is on its way to the state service
-	cancelled  bool // and has been committed
-	closing    bool // the final record is on its way
-	cancels    []UserCall
+	cancelling bool       // a cancellation has been begun
+	cancelled  bool       // and has been committed
+	closing    bool       // the final record is on its way
+	ending     *change    // whichever of the two is on its way
+	cancels    []UserCall // who waits for it
 
 	errHosts  map[string]bool // machines on which its tasks failed
 	failures  int             // since a task last completed
@@ -249,6 +250,7 @@
 		writes: []Write{{Key: finalKeys + j.spec.ID, Value: &final}, {Key: jobKeys + j.spec.ID}},
 		done:   func(uint64) { c.closed(j, final) },
 	}
+	j.ending = ch
 	drops := make([]*change, 0, 1)
 	for _, chunk := range slices.Sorted(maps.Keys(j.chunkRev)) {
 		if j.chunkRev[chunk] == 0 {
@@ -305,9 +307,32 @@
 		return
 	}
 	j.cancelling = true
+	// Whatever becomes of the record, its user wants nothing of it any more. Others may read
+	// it and tell before we know that it is committed: what renews leases meanwhile, with
+	// authority or without, has to carry the stops.
+	for _, r := range j.runs {
+		c.poke(r.m)
+	}
+	c.recordCancelled(j, c.times.Confirm(c.now, c.lead.since.Add(c.lead.lag)))
+}
+
+// recordCancelled writes a cancellation, not before a time unless nothing of the job can be
+// on any machine: where the settings leave no room a lease may last longer than tasks of a
+// cancelled job may.
+func (c *Core) recordCancelled(j *job, from time.Time) {
+	if from.After(c.now) && (len(j.runs) > 0 || j.earlier && !c.lead.settled()) {
+		for _, call := range j.cancels { // once for each: who asks again is told again
+			no := unavailable("the tasks are being stopped")
+			no.RetryAfter = from.Sub(c.now)
+			c.answer(call, no)
+		}
+		j.cancels = nil
+		c.whenLeading(min(from.Sub(c.now), tickEvery), func() { c.recordCancelled(j, from) })
+		return
+	}
 	rec := *j.rec
 	rec.Cancelled = true
-	c.lead.pipe.add(&change{
+	ch := &change{
 		size: recordSize(&rec.Spec),
 		// A try that is applied late must not bring back a job that is over.
 		when:   []Cond{{finalKeys + j.spec.ID, 0}},
@@ -321,16 +346,35 @@
 			})
 		},
 		done: func(uint64) {
-			j.cancelling, j.cancelled, j.rec = false, true, &rec
+			j.cancelling, j.cancelled, j.rec, j.ending = false, true, &rec, nil
 			c.unbook(j)
 			c.note(slog.LevelDebug, "job cancelled", "job", j.spec.ID)
 			j.answerCancels(c, AnswerUser{Status: 200, View: j.view()})
-			for _, r := range j.runs {
-				c.poke(r.m)
-			}
 			c.closeIfOver(j)
 		},
+	}
+	j.ending = ch
+	c.lead.pipe.add(ch)
+}
+
+// endingWait is how long a question about a job waits for the record of its end: shorter
+// than one that was passed on to us does.
+const endingWait = 600 * time.Millisecond
+
+// ends has a question about a job wait if its end may be on record without our knowing.
+// Whoever reads the record may have told the user, who must hear nothing older from us.
+func (c *Core) ends(j *job, call UserCall) bool {
+	if j.ending == nil || !j.ending.sent {
+		return false
+	}
+	j.cancels = append(j.cancels, call)
+	c.whenLeading(endingWait, func() {
+		if i := slices.IndexFunc(j.cancels, func(x UserCall) bool { return x.From == call.From && x.Ref == call.Ref }); i >= 0 {
+			j.cancels = slices.Delete(j.cancels, i, i+1)
+			c.answer(call, unavailable("its end is being recorded"))
+		}
 	})
+	return true
 }
 
 // fits reports whether a record of so many bytes fits into a value of the state
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -305,7 +305,7 @@
 				// What was heard of terms does not count here, only the record: a
 				// peer may say anything. An answer that comes this late finds the
 				// grant over.
-				if r.Outcome != OK || !c.now.Before(authorityFrom(sent)) {
+				if r.Outcome != OK || !c.now.Before(c.authorityFrom(sent)) {
 					drop()
 					return
 				}
@@ -343,9 +343,7 @@
 	return term, e.Rev
 }
 
-func authorityFrom(sent time.Time) time.Time {
-	return sent.Add(grantTTL - grantTTL/driftPart - slack/2)
-}
+func (c *Core) authorityFrom(sent time.Time) time.Time { return sent.Add(c.times.Authority()) }
 
 // begin begins a term.
 func (c *Core) begin(term, rev, grant uint64, sent time.Time, ahead time.Duration) {
@@ -353,7 +351,7 @@
 	c.termMax, c.confirmed, c.hint, c.led = term, term, "", term
 	c.reads = newReadLimit(st.RPS, 1)
 	c.lead = &leadership{
-		term: term, termRev: rev, grant: grant, until: authorityFrom(sent), since: c.now, ahead: ahead,
+		term: term, termRev: rev, grant: grant, until: c.authorityFrom(sent), since: c.now, ahead: ahead,
 		acked: map[string]bool{}, jobs: map[string]*job{}, accept: map[string]*accepting{},
 		teams: map[string]*team{}, est: newEstimates(), gone: newForgetful(c.now), machines: map[string]*machine{},
 		owed: map[string]bool{}, unread: map[string]bool{}, lost: map[string]uint64{}, holding: map[holdKey]*machine{}, relays: map[string]*relayPeer{},
@@ -430,7 +428,7 @@
 		if !extended || !standing {
 			return
 		}
-		if u := authorityFrom(sent); u.After(l.until) {
+		if u := c.authorityFrom(sent); u.After(l.until) {
 			l.until, l.ahead = u, ahead
 		}
 		if l.held && c.leads() {
@@ -643,7 +641,7 @@
 	if !c.leads() {
 		if !l.held {
 			l.held = true
-			c.note(slog.LevelWarn, "authority lapsed, holding the workers", "term", l.term, "hold", c.hold)
+			c.note(slog.LevelWarn, "authority lapsed, holding the workers", "term", l.term, "hold", c.times.Hold())
 			// Whoever waits for a write hears at once that it is not known.
 			c.answerWaiting(l, unavailable("the state service does not answer"))
 			c.releaseHeld()
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -179,8 +179,9 @@
 			c.release(c.machine(rep.Host, rep.Flavor, rep.Zone, rep.Reclaimable))
 		})
 		return
-	case !c.leads() && (c.now.After(l.until.Add(c.hold)) || c.now.Before(l.until)):
-		// The hold is over, or our clock has stood still and cannot say.
+	case !c.leads() && (c.times.Over(c.now.Sub(l.until), c.ahead(c.now)-l.ahead) || c.now.Before(l.until)):
+		// The hold is over by one of our clocks, or the steady one has stood still and
+		// cannot say.
 		refuse()
 		return
 	case l.gone.has(rep.Host):
@@ -570,9 +571,10 @@
 			}
 			continue
 		}
-		if r.stop || r.job != nil && r.job.cancelled {
+		unwanted := r.job != nil && (r.job.cancelled || r.job.cancelling)
+		if r.stop || unwanted {
 			drain := r.drain
-			if r.job == nil || r.job.cancelled {
+			if r.job == nil || unwanted {
 				drain = 0
 			}
 			if r.stopped.IsZero() {
@@ -595,7 +597,8 @@
 	os := c.orders(m)
 	if !c.leads() {
 		// Out of authority: no starts, no acknowledgements; but what has been
-		// cancelled is stopped, since that was decided while we had it.
+		// cancelled is stopped, or has been begun to be, since that was decided while we
+		// had it.
 		os = slices.DeleteFunc(os, func(o Order) bool { return o.Verb != Stop })
 		c.sendReply(m, os)
 		return
@@ -728,11 +731,13 @@
 // may have gone on answering until its peers told it of our term or its hold ran out.
 func (c *Core) earlierLease() time.Time {
 	l := c.lead
-	base := l.since.Add(l.lag + c.hold + slack)
-	if !l.ackedAt.IsZero() && l.ackedAt.Before(base) {
-		base = l.ackedAt
+	over := c.times.Gone(l.since.Add(l.lag))
+	if !l.ackedAt.IsZero() {
+		if told := l.ackedAt.Add(withDrift(c.lease)); told.Before(over) {
+			return told
+		}
 	}
-	return base.Add(withDrift(c.lease))
+	return over
 }
 
 // expire gives up on the tasks of a machine whose lease is surely over.
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -29,6 +29,8 @@
 	failed func() // a condition of its own did not hold
 
 	rejected func() // malformed in the state service's eyes, on its own
+
+	sent bool // at least once: it may be on record
 }
 
 // pipeline batches changes into transactions within the state service's limits.
@@ -159,6 +161,7 @@
 	}
 	call := StoreCall{Op: StoreTxn, When: []Cond{{termKey, c.lead.termRev}}}
 	for _, ch := range batch {
+		ch.sent = true
 		call.When = append(call.When, ch.when...)
 		call.Then = append(call.Then, ch.writes...)
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -213,7 +213,9 @@
 			c.cancel(j, call)
 			return
 		}
-		c.answer(call, AnswerUser{Status: 200, View: j.view(), Reason: c.waitsFor(j)})
+		if !c.ends(j, call) {
+			c.answer(call, AnswerUser{Status: 200, View: j.view(), Reason: c.waitsFor(j)})
+		}
 		return
 	}
 	if f, ok := c.final.Get(call.ID); ok {
--- a/internal/scenario/clock.go
+++ b/internal/scenario/clock.go
@@ -100,10 +100,13 @@
 	if c.hosts[a] == c.hosts[b] {
 		return false
 	}
-	if c.only == nil {
-		return true
+	// Of those behind the cut one may be among those it is from, a leader among all nodes:
+	// only the other side says whether this message is concerned.
+	other := a
+	if c.hosts[a] {
+		other = b
 	}
-	return c.only[a] || c.only[b]
+	return c.only == nil || c.only[other]
 }
 
 // open reports whether a message could pass now.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -31,7 +31,7 @@
 	for _, e := range res.Unmet {
 		t.Errorf("expected %s", e)
 	}
-	t.Logf("%d tasks started, %d requests to the state service", res.Started, res.Requests)
+	t.Logf("%d tasks started, %d requests to the state service, met %v", res.Started, res.Requests, res.Met)
 	return res
 }
 
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -22,6 +22,7 @@
 	Unmet      []string // expectations that do not hold
 	Started    int      // tasks started
 	Requests   int      // to the state service
+	Met        map[string]int
 }
 
 // Run plays a scenario. Lines that operators would log go to trace unless it is
@@ -73,9 +74,9 @@
 }
 
 func newWorld() *world {
-	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, cals: map[string]calendar.Definition{}, clerks: map[string]*clerk{}, broken: map[string]bool{}, tries: map[core.TaskID]uint64{}}
+	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, cals: map[string]calendar.Definition{}, clerks: map[string]*clerk{}, broken: map[string]bool{}, met: map[string]int{}, tries: map[core.TaskID]uint64{}}
 	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
-	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, muted: map[string]mute{}, refilled: w.now}
+	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, muted: map[string]mute{}, refilled: w.now, met: w.met}
 	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
 	w.address = func(host string) string { return host + workerPort }
 	w.cloud.boots = func() (time.Duration, bool) { return time.Duration(60 + w.rng.IntN(90)), true }
@@ -241,7 +242,7 @@
 		rule := s.expects[i].what[1]
 		w.violations = slices.DeleteFunc(w.violations, func(v string) bool { return strings.Contains(v, " "+rule+":") })
 	}
-	res.Violations, res.Started, res.Requests = w.violations, w.started, w.store.requests
+	res.Violations, res.Started, res.Requests, res.Met = w.violations, w.started, w.store.requests, w.met
 	return res
 }
 
@@ -288,15 +289,20 @@
 	case "rule":
 		return s.broken[e[1]]
 	case "running", "on": // number of tasks of a job on machines, or of machines in use
-		n := 0
-		for _, m := range s.cloud.machines {
-			for _, t := range m.tasks {
-				if t.on() && t.id.Job == e[1] {
-					n++
+		return compare(s.tasksOn(e[1]), e[2])
+	case "met": // met WORD N: how often a meeting came about
+		return compare(s.met[e[1]], e[2])
+	case "largest": // seconds until the last of each class's largest jobs has begun
+		worst := time.Duration(0)
+		for _, j := range s.order {
+			if begun := j.begun; s.asked(j) && s.largest(j) {
+				if begun.IsZero() {
+					begun = s.now
 				}
+				worst = max(worst, begun.Sub(j.first))
 			}
 		}
-		return compare(n, e[2])
+		return compare(int(worst.Seconds()), e[1])
 	case "machines":
 		n := 0
 		for _, m := range s.cloud.machines {
@@ -313,7 +319,7 @@
 			}
 		}
 		return compare(n, e[1])
-	case "served": // served CLASS N, served team=NAME N, served all N (the worst of them)
+	case "served": // served CLASS N, served team=NAME N, served largest=CLASS N, served all N (the worst of them)
 		worst := -1
 		for of, percent := range s.served() {
 			if of == e[1] || e[1] == "all" && (worst < 0 || percent < worst) {
@@ -324,11 +330,7 @@
 	case "refused": // requests to the state service that were above the allowance
 		return compare(s.store.refused, e[1])
 	case "terms": // the newest that any node leads or knows
-		n := 0
-		for _, x := range s.nodes {
-			n = max(n, int(x.core.Stats().Term))
-		}
-		return compare(n, e[1])
+		return compare(int(s.newestTerm()), e[1])
 	case "started":
 		return compare(s.started, e[1])
 	case "moved":
@@ -351,17 +353,64 @@
 	panic("unknown expectation " + e[0])
 }
 
-// served returns, for each class and team, what percent of its jobs are done or of their
-// tasks, whichever is less. Jobs that their users cancelled or that fail everywhere, and
-// services, are not asked for.
+// tasksOn is how many tasks of a job are on machines.
+func (w *world) tasksOn(id string) (n int) {
+	for _, m := range w.cloud.machines {
+		for _, t := range m.tasks {
+			if t.on() && t.id.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// newestTerm is the newest that any node leads or knows.
+func (w *world) newestTerm() (n uint64) {
+	for _, x := range w.nodes {
+		if x.core != nil { // a process of its own has none here
+			n = max(n, x.core.Stats().Term)
+		}
+	}
+	return n
+}
+
+// asked reports whether a job is one that must be served: not one that its user cancelled
+// or that fails everywhere, and no service.
+func (s *script) asked(j *userJob) bool {
+	return j.accepted && !j.wants && !j.faulty && !j.spec.Service
+}
+
+// largest reports whether a job is among its class's largest: it takes no fewer CPUs, all
+// tasks together, than nine tenths of the class's jobs.
+func (s *script) largest(j *userJob) bool {
+	size := func(j *userJob) float64 { return float64(j.spec.Tasks) * j.spec.CPUs }
+	smaller, of := 0, 0
+	for _, x := range s.order {
+		if x.spec.Class == j.spec.Class && s.asked(x) {
+			of++
+			if size(x) <= size(j) {
+				smaller++
+			}
+		}
+	}
+	return 10*smaller >= 9*of
+}
+
+// served returns, for each class, its largest jobs and each team, what percent of the jobs
+// are done or of their tasks, whichever is less.
 func (s *script) served() map[string]int {
 	type tally struct{ jobs, jobsOf, tasks, tasksOf int }
 	of := map[string]*tally{}
 	for _, j := range s.order {
-		if !j.accepted || j.wants || j.faulty || j.spec.Service {
+		if !s.asked(j) {
 			continue
 		}
-		for _, k := range []string{j.spec.Class, "team=" + j.spec.Owner} {
+		keys := []string{j.spec.Class, "team=" + j.spec.Owner}
+		if s.largest(j) {
+			keys = append(keys, "largest="+j.spec.Class)
+		}
+		for _, k := range keys {
 			t := of[k]
 			if t == nil {
 				t = &tally{}
@@ -454,8 +503,33 @@
 	return ms[:min(n, len(ms))]
 }
 
+// troubles are the actions that are none of ordinary use.
+var troubles = strings.Fields("crash flap restart leave roll outage wipe restore deaf deny mute cut stall storm hang sick take boots damage wander late_writes late_reports machine_deaf slow_state")
+
+// noteTrouble takes note of when a trouble is surely over: after all its times together, and
+// half a minute in which processes and machines come back.
+func (w *world) noteTrouble(f []string) {
+	if !slices.Contains(troubles, f[0]) {
+		return
+	}
+	over := 30 * time.Second
+	for _, word := range f[1:] {
+		if _, v, ok := strings.Cut(word, "="); ok {
+			word = v
+		}
+		if d, err := time.ParseDuration(word); err == nil {
+			over += d
+		}
+	}
+	if f[0] == "roll" {
+		over += time.Duration(len(w.nodes)) * span(f[1])
+	}
+	w.troubled = later(w.troubled, w.now.Add(over))
+}
+
 func (s *script) act(f []string) {
 	w := s.world
+	w.noteTrouble(f)
 	switch f[0] {
 	case "machines":
 		a := args(f[3:])
@@ -483,7 +557,16 @@
 				}
 			})
 		}
-	case "cancel":
+	case "cancel": // cancel ID, cancel first N
+		if f[1] == "first" {
+			n, _ := strconv.Atoi(f[2])
+			for _, j := range s.order[:min(n, len(s.order))] {
+				if !j.wants {
+					w.cancel(j)
+				}
+			}
+			return
+		}
 		w.cancel(w.jobs[f[1]])
 	case "crash":
 		back := dur(args(f[2:]), "back", 8*time.Second)
@@ -538,7 +621,24 @@
 		if n := s.node(f[1]); n != nil {
 			w.store.muted[n.name] = mute{w.now.Add(span(f[2])), dur(args(f[3:]), "late", 0)}
 		}
-	case "cut": // cut WHO D hold|reset [only=HOSTS]
+	case "late_writes": // late_writes D share=S: transactions without an answer, carried out 2 to 12 s later
+		w.store.late = lateness{w.now.Add(span(f[1])), num(args(f[2:]), "share", 0.3)}
+	case "late_reports": // late_reports D share=S: copies that arrive from 2 s to two leases later
+		w.reports = lateness{w.now.Add(span(f[1])), num(args(f[2:]), "share", 0.3)}
+	case "slow_state": // slow_state D by=D: what is asked is carried out and answered late
+		w.store.slow, w.store.slowBy = w.now.Add(span(f[1])), dur(args(f[2:]), "by", 2*time.Second)
+	case "machine_deaf": // machine_deaf N|zone=Z D: answers and commands to them are lost
+		some := s.busiest(len(w.cloud.machines))
+		if zone, ok := strings.CutPrefix(f[1], "zone="); ok {
+			some = slices.DeleteFunc(some, func(m *worker) bool { return m.zone != zone })
+		} else {
+			n, _ := strconv.Atoi(f[1])
+			some = some[:min(n, len(some))]
+		}
+		for _, m := range some {
+			m.deaf = w.now.Add(span(f[2]))
+		}
+	case "cut": // cut WHO D hold|reset [only=HOSTS]: leader, peers (all nodes), state, user, names
 		hosts, zone := map[string]bool{}, ""
 		if n := s.node(f[1]); n != nil {
 			hosts[n.name] = true
@@ -571,6 +671,14 @@
 			only = map[string]bool{}
 			for h := range strings.SplitSeq(o, ",") {
 				only[h] = true
+				if n := s.node(h); n != nil {
+					only[n.name] = true
+				}
+				if h == "peers" {
+					for _, n := range w.nodes {
+						only[n.name] = true
+					}
+				}
 			}
 		}
 		w.net.split(hosts, only, f[3] == "hold", span(f[2]), zone)
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -24,6 +24,10 @@
 	down   time.Time            // an outage lasts until then
 	denied map[string]time.Time // nodes that get 503 until then
 	muted  map[string]mute      // nodes whose transactions are applied and not answered
+	late   lateness             // that share of transactions is applied late and not answered
+	slow   time.Time            // until then answers come late
+	slowBy time.Duration
+	met    map[string]int // see world
 
 	rps, writeRPS  float64
 	valueKB        float64
@@ -42,6 +46,17 @@
 	late  time.Duration
 }
 
+// lateness is a share of messages that are delayed, until a time.
+type lateness struct {
+	until time.Time
+	share float64
+}
+
+// hits reports whether this one is delayed.
+func (l *lateness) hits(c *clock) bool {
+	return c.now.Before(l.until) && c.rng.Float64() < l.share
+}
+
 type storedKey struct {
 	value json.RawMessage
 	rev   uint64
@@ -183,6 +198,15 @@
 
 func (s *store) serve(node, method, path string, body []byte, answer func(int, []byte)) {
 	s.requests++
+	if s.now.Before(s.slow) && !strings.HasPrefix(path, "/follow") {
+		// Whatever is asked is looked at late, and the answer is as old as it is.
+		s.after(s.spread(s.slowBy, 0.3), func() { s.served(node, method, path, body, answer) })
+		return
+	}
+	s.served(node, method, path, body, answer)
+}
+
+func (s *store) served(node, method, path string, body []byte, answer func(int, []byte)) {
 	if s.now.Before(s.down) || s.now.Before(s.denied[node]) {
 		if strings.HasPrefix(path, "/follow") {
 			return // open watches just wait
@@ -212,6 +236,15 @@
 	switch {
 	case u.Path == "/multi" && len(t.Then) > 0 && s.now.Before(s.muted[node].until):
 		s.after(s.muted[node].late, func() { s.multi(&t, func(int, []byte) {}) })
+	case u.Path == "/multi" && len(t.Then) > 0 && s.late.hits(s.clock):
+		s.after(s.spread(7*time.Second, 5./7), func() { // as the bench has it
+			s.multi(&t, func(status int, _ []byte) {
+				s.met["late-write"]++
+				if status == 200 {
+					s.met["late-write-done"]++
+				}
+			})
+		})
 	case u.Path == "/multi":
 		s.multi(&t, answer)
 	case u.Path == "/store":
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -21,6 +21,7 @@
 	wants    bool          // its user asked to cancel it
 	toldAt   time.Time     // when it was told cancelled
 	done     map[int]bool
+	begun    time.Time // its first task has started
 	finished time.Time
 	progress map[int]time.Duration
 	reached  time.Time // last answered poll
@@ -145,6 +146,7 @@
 		}
 		if j.told == "" {
 			j.toldAt, j.toldOn = w.now, w.now
+			w.met["cancelled-on"] += w.tasksOn(j.spec.ID)
 		}
 		j.told = v.State
 	}
@@ -199,11 +201,25 @@
 			if w.now.Sub(j.reached) > 90*time.Second && j.failing > 10 && w.since(w.answered) > w.since(w.failures) {
 				w.fail("forgotten", "no poll of %s is answered for 90 s", j.spec.ID)
 			}
+			if since := later(j.reached, w.troubled); w.now.Sub(since) > unansweredMost {
+				w.fail("forgotten", "no poll of %s is answered for 75 s after the last trouble", j.spec.ID)
+			}
 		}
 		then()
 	})
 }
 
+// unansweredMost is for how long a job may go without an answer once all troubles are over,
+// however other jobs fare.
+const unansweredMost = 75 * time.Second
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // since counts the entries of the last 90 s.
 func (w *world) since(ts []time.Time) int {
 	n := 0
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -19,6 +19,7 @@
 	sick              bool
 	hung              time.Time
 	leaves            time.Time // notice of being taken
+	deaf              time.Time // until then its reports arrive, and no answer or command reaches it
 
 	tenure, counter, epoch uint64
 	tasks                  []*task
@@ -41,7 +42,8 @@
 	phase  core.Phase
 	cause  string
 	began  time.Time
-	change int // number of the latest planned change
+	change int  // number of the latest planned change
+	outran bool // an older leader has kept it after its job was told cancelled
 }
 
 // on reports whether the task is on the machine in the sense of the rules: it
@@ -175,9 +177,25 @@
 		n.ask(func(ref uint64) any { return core.ReportIn{Ref: ref, Report: rep} }, func(a any) {
 			ans := a.(core.AnswerReport)
 			ans.Orders = slices.Clone(ans.Orders)
-			back(func() { m.reply(id, tenure, sent, ans) })
+			back(func() {
+				if m.now.Before(m.deaf) {
+					m.met["deaf-answer"]++
+					m.met["deaf-start"] += len(slices.DeleteFunc(ans.Orders, func(o core.Order) bool { return o.Verb != core.Start }))
+					return
+				}
+				m.reply(id, tenure, sent, ans)
+			})
 		})
 	})
+	if m.reports.hits(m.clock) {
+		// What the network has kept arrives a second time; nobody waits for its answer.
+		m.after(m.spread(m.lease+2*time.Second, 1-4/(m.lease.Seconds()+2)), func() {
+			if n.alive {
+				m.met["late-report"]++
+				n.ask(func(ref uint64) any { return core.ReportIn{Ref: ref, Report: rep} }, func(any) {})
+			}
+		})
+	}
 	m.after(4*time.Second, func() { m.do(func() { m.failed(id) }) })
 }
 
@@ -266,6 +284,7 @@
 		return
 	}
 	m.served = true
+	m.outrun(a.Epoch)
 	if sent.After(m.answered) {
 		m.answered = sent
 		m.watchLease()
@@ -281,6 +300,18 @@
 	m.planReport(max(next, 0))
 }
 
+// outrun notes tasks of jobs that were told cancelled on a machine whose lease a leader
+// renews that is not the newest: the meeting that the bound on cancellations is about.
+func (m *worker) outrun(epoch uint64) {
+	for _, t := range m.tasks {
+		if t.outran || !t.on() || t.job.told != core.Cancelled || epoch >= m.newestTerm() {
+			continue
+		}
+		t.outran = true
+		m.met["outrun-cancel"]++
+	}
+}
+
 func (m *worker) find(id core.TaskID, try uint64) *task {
 	for _, t := range m.tasks {
 		if t.id == id && t.try == try {
@@ -393,6 +424,9 @@
 func (m *worker) begin(t *task) {
 	m.checkStart(m, t)
 	t.phase, t.began = core.TaskRuns, m.now
+	if t.job.begun.IsZero() {
+		t.job.begun = m.now
+	}
 	m.started++
 	m.changed()
 	switch {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -31,7 +31,10 @@
 
 	reportEvery, lease, cancelWithin time.Duration
 
-	saved              func() // puts back what the state service had
+	saved              func()         // puts back what the state service had
+	met                map[string]int // how often the meetings that a scenario is about came about
+	troubled           time.Time      // the last trouble is over by then
+	reports            lateness       // that share of reports arrives a second time, late
 	dirty              bool
 	violations         []string
 	broken             map[string]bool
@@ -417,7 +420,7 @@
 	case core.ProbeCall:
 		host := strings.TrimSuffix(o.Address, workerPort)
 		n.roundTrip("probe", host, o.Within, func(answer func(any)) {
-			if m := n.workers[host]; m != nil {
+			if m := n.workers[host]; m != nil && !n.now.Before(m.deaf) {
 				m.do(func() {
 					outcome, rep := m.command(o.Epoch, o.Tenure)
 					answer(core.ProbeReply{Ref: o.Ref, Outcome: outcome, Report: rep})
