--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -83,6 +83,8 @@
 	rentedAt        time.Time
 	readyAt         time.Time // expected, while it boots
 	held            *heldReport
+	deafSince       time.Time  // first answered in this term, and has not shown that it heard
+	lostStarts      int        // in a row: starts that its next report did not list
 	home            *relayPeer // by which it reports, among whose workers it counts
 	moved           time.Time  // when it was last led to another node
 	poked           bool       // has orders that need not wait for its next report
@@ -297,6 +299,9 @@
 		}
 		m.leaving = c.now.Add(rep.Notice)
 	}
+	if rep.Epoch == l.term {
+		m.deafSince = time.Time{}
+	}
 	l.learned++
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
@@ -310,13 +315,22 @@
 	// A start that went out with the reply to an earlier report and is not
 	// listed now was never executed, and never will be: the worker takes
 	// replies in turn and drops late ones.
+	lost := false
 	m.runs = slices.DeleteFunc(m.runs, func(r *run) bool {
 		if r.listed == l.learned || rep.Counter <= r.order {
 			return false
 		}
+		lost = lost || r.phase == orderedFor && r.order > 0
 		c.forget(r)
 		return true
 	})
+	if lost {
+		// Once may be chance or a relay that ended. A machine that does not hear us must
+		// not be what a task is tried on again and again while there is room elsewhere.
+		if m.lostStarts++; m.lostStarts > 1 {
+			m.retryAt = c.now.Add(min(time.Second<<min(m.lostStarts-1, 10), c.lease))
+		}
+	}
 	if rep.Epoch == l.term && l.owed[m.host] {
 		c.accounted(m.host)
 	}
@@ -372,6 +386,14 @@
 		return r
 	}
 	r.midway = t.Phase != Pulling
+	if j != nil {
+		// A later attempt was only ordered once the earlier one was surely gone: what told
+		// of that one was late, and the one that runs is this.
+		if x := j.runs[t.Task.Index]; x != nil && x.m != m && x.try < t.Try {
+			c.vacate(x)
+			x.stop = true
+		}
+	}
 	if j == nil || j.done.has(t.Task.Index) || j.runs[t.Task.Index] != nil {
 		// Nobody waits for it: stop it.
 		r.stop = true
@@ -486,6 +508,9 @@
 		return
 	}
 	m, j := r.m, r.job
+	if r.phase == orderedFor && r.order > 0 {
+		m.lostStarts = 0
+	}
 	if t.Phase != Exited {
 		if t.Phase == TaskRuns && r.phase != TaskRuns {
 			r.began = c.now
@@ -630,10 +655,23 @@
 
 func (c *Core) sendReply(m *machine, os []Order) {
 	key := c.unhold(m)
+	if m.epoch != c.lead.term && m.deafSince.IsZero() {
+		m.deafSince = c.now
+	}
 	c.answerReport(key.by, AnswerReport{Ref: key.ref, Status: 200, Epoch: c.lead.term, Orders: os})
 	m.answered = c.now
 }
 
+// heardLast is when the machine was last heard in a way that shows more than that it can speak.
+// One that was answered long ago and whose reports still show no word of ours does not hear:
+// everything that was accepted earlier would wait for it for as long as that lasts.
+func (c *Core) heardLast(m *machine) time.Time {
+	if !m.deafSince.IsZero() && c.now.Sub(m.deafSince) > c.report*5/4+workerGivesUp {
+		return m.deafSince
+	}
+	return m.seen
+}
+
 // dispatchEvery bounds how often all held replies are looked at: news come
 // many times as often on a large fleet, and each look goes over all of it.
 const dispatchEvery = 40 * time.Millisecond
--- /dev/null
+++ b/internal/core/meetings_test.go
@@ -0,0 +1,159 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"yewpass/internal/snapshot"
+)
+
+// Two troubles that meet, where one core alone shows what it must do.
+
+// statuses returns how a report was answered, and with which orders.
+func (d *desk) replied(ref uint64) (a AnswerReport) {
+	for _, o := range d.said {
+		if x, ok := o.(AnswerReport); ok && x.Ref == ref {
+			a = x
+		}
+	}
+	return a
+}
+
+// TestHoldByBothClocks: a leader without authority answers workers for so long and no
+// longer, also when its steady clock has stood still meanwhile.
+func TestHoldByBothClocks(t *testing.T) {
+	for _, ahead := range []time.Duration{0, 30 * time.Second} {
+		d := newDesk(t)
+		d.c.times.Cancel = 60 * time.Second // holds for half a minute
+		ts := d.running("wk-1", 1)
+		l := d.c.lead
+		d.c.now = later(d.c.now, l.until).Add(2 * time.Second)
+		l.ahead = d.c.ahead(d.c.now)
+		d.c.SetWander(ahead)
+		d.ref++
+		d.in(ReportIn{Ref: d.ref, Report: Report{Host: "host-000000", Flavor: "f2", Zone: "a", Tenure: 1, Counter: 20, Epoch: 1, Tasks: ts}})
+		if a := d.replied(d.ref); (a.Status == 200) != (ahead == 0) {
+			t.Errorf("with the time of day %v ahead the answer is %d", ahead, a.Status)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// TestBegunCancellation: what is begun to be cancelled is stopped with the next reply, in
+// authority and out of it; who asks meanwhile hears nothing older than what the record may
+// say, once it may be there.
+func TestBegunCancellation(t *testing.T) {
+	for _, lapsed := range []bool{false, true} {
+		d := newDesk(t)
+		d.c.times.Cancel = 60 * time.Second
+		ts := d.running("wk-1", 1)
+		cancel := d.user(OpCancel, "wk-1", nil, nil)
+		if lapsed {
+			d.c.now = later(d.c.now, d.c.lead.until).Add(2 * time.Second)
+			d.c.lead.ahead = d.c.ahead(d.c.now)
+			d.in(Tick{})
+		}
+		if os := d.report("host-000000", 20, ts...); len(verbs(os, Stop)) != 1 || len(os) != 1 || os[0].Drain != 0 {
+			t.Errorf("lapsed %v: the machine is told %+v", lapsed, os)
+		}
+		if a := d.answer(cancel); a.Status == 200 {
+			t.Errorf("lapsed %v: confirmed before its write: %+v", lapsed, a)
+		}
+		if lapsed {
+			continue
+		}
+		get := d.user(OpGet, "wk-1", nil, nil)
+		d.pass(100 * time.Millisecond)
+		if a := d.answer(get); a.Status != 0 {
+			t.Errorf("told %+v while the record may say otherwise", a)
+		}
+		d.pass(time.Second)
+		if a := d.answer(get); a.Status != 503 {
+			t.Errorf("told %+v in the end", a)
+		}
+		get = d.user(OpGet, "wk-1", nil, nil)
+		d.settle(OK)
+		if a := d.answer(get); a.Status != 200 || a.View.State != Cancelled {
+			t.Errorf("told %+v once it is committed", a)
+		}
+	}
+}
+
+// TestCancelShorterThanLease: where a lease may outlast a cancellation's time, the record is
+// written once the tasks are gone in time, and the user told at once to come back.
+func TestCancelShorterThanLease(t *testing.T) {
+	d := newDesk(t)
+	d.c.times.Cancel = d.c.lease - 5*time.Second
+	ts := d.running("wk-1", 1)
+	d.finish()
+	first := d.user(OpCancel, "wk-1", nil, nil)
+	if a := d.answer(first); a.Status != 503 || a.RetryAfter < 5*time.Second {
+		t.Errorf("told %+v", a)
+	}
+	if n := d.settle(OK); n != 0 {
+		t.Error("on record while a lease may outlast it")
+	}
+	ts[0].Phase, ts[0].Cause = Exited, CauseStopped
+	d.report("host-000000", 20, ts...)
+	again := d.user(OpCancel, "wk-1", nil, nil)
+	d.finish()
+	if a := d.answer(again); a.Status != 200 || a.View.State != Cancelled {
+		t.Errorf("told %+v once its task is gone", a)
+	}
+}
+
+// TestRestoredLate: the record of a job that is written back after a loss is written on the
+// condition that the job is not over: a try that is carried out late must not bring it back.
+func TestRestoredLate(t *testing.T) {
+	d := newDesk(t)
+	d.running("wk-1", 1)
+	l := d.c.lead
+	key := jobKeys + "wk-1"
+	d.c.copies.own = snapshot.New(1, l.term, finalKeys, 100)
+	d.c.copies.own.Put(key, l.jobs["wk-1"].rec, 0)
+	l.rebuild = &rebuilding{left: 1}
+	d.calls = nil
+	d.c.restoreOne(snapshot.Record{Key: key, Value: l.jobs["wk-1"].rec})
+	d.pass(time.Second)
+	for _, x := range d.calls {
+		call, ok := x.(StoreCall)
+		if !ok || !slices.ContainsFunc(call.Then, func(w Write) bool { return w.Key == key }) {
+			continue
+		}
+		if !slices.Contains(call.When, Cond{finalKeys + "wk-1", 0}) {
+			t.Errorf("written back on %+v", call.When)
+		}
+		return
+	}
+	t.Error("not written back")
+}
+
+// TestLaterAttemptStays: a late report tells a new leader of an attempt that was over long
+// ago; the one that runs is not stopped for it.
+func TestLaterAttemptStays(t *testing.T) {
+	d := newDesk(t)
+	l := d.c.lead
+	j := d.c.addJob(&JobRecord{Spec: *plainJob("wk-1", 1), Submitted: t0}, true)
+	d.c.jobLoaded(j)
+	at := func(host string, try uint64) *run {
+		m := d.c.machine(host, "f2", "a", true)
+		d.c.learn(m, &Report{Host: host, Tenure: 1, Counter: 5, Tasks: []TaskReport{{Task: TaskID{Job: "wk-1"}, Try: try, Phase: TaskRuns}}})
+		return m.runs[0]
+	}
+	old := at("host-x", 3)
+	now := at("host-y", 4)
+	if !old.stop || now.stop || j.runs[0] != now || l.teams["t"].used.CPU != j.need.CPU {
+		t.Errorf("the earlier attempt stops %v, the later one %v", old.stop, now.stop)
+	}
+	// The other way round the late word changes nothing.
+	if late := at("host-z", 2); !late.stop || j.runs[0] != now {
+		t.Error("a late word of an earlier attempt takes the place of the one that runs")
+	}
+}
--- a/internal/core/rebuild.go
+++ b/internal/core/rebuild.go
@@ -842,6 +842,9 @@
 	}
 	ch := &change{lane: bulk, when: []Cond{{r.Key, r.Rev}}, writes: []Write{{Key: r.Key}}, size: 400}
 	if rec, ok := r.Value.(*JobRecord); ok {
+		// Applied late, once the job is over and its record gone again, it would bring the
+		// job back to the next leader.
+		ch.when = append(ch.when, Cond{finalKeys + rec.Spec.ID, 0})
 		ch.size = recordSize(&rec.Spec)
 	} else if rec, ok := r.Value.(*schedule.Record); ok {
 		ch.size, ch.lane = rec.Size(), urgent
@@ -908,8 +911,11 @@
 			continue
 		}
 		c.note(slog.LevelError, "a schedule is missing that a copy has, it is written back", "key", key)
-		c.lead.pipe.add(&change{size: rec.Size(), when: []Cond{{key, 0}}, writes: []Write{{Key: key, Value: rec}},
-			done: func(rev uint64) { c.loadSchedule(Entry{Key: key, Value: rec, Rev: rev}) }})
+		c.readBackKey(numberKey, func(e Entry, _ bool) {
+			c.lead.sched.numberRev = e.Rev
+			c.lead.pipe.add(&change{size: rec.Size(), when: c.newSchedule(key), writes: []Write{{Key: key, Value: rec}},
+				done: func(rev uint64) { c.loadSchedule(Entry{Key: key, Value: rec, Rev: rev}) }})
+		})
 	}
 }
 
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -246,7 +246,7 @@
 	for _, m := range l.fleet {
 		if m.reported && !m.away {
 			reporting++
-			if c.now.Sub(m.seen) > silent {
+			if c.now.Sub(c.heardLast(m)) > silent {
 				quiet++
 			}
 		}
@@ -288,7 +288,8 @@
 	if m.releasing {
 		return
 	}
-	if l.owed[m.host] && !m.reported && takeover < silent {
+	seen := c.heardLast(m)
+	if l.owed[m.host] && (!m.reported || seen != m.seen) && takeover < silent {
 		// Everything waits for it. When most others have found us, it is gone
 		// or cut off.
 		silent = takeover
@@ -302,7 +303,7 @@
 	}
 	// A zone that returns does so over a report interval, and so do those who have tried
 	// in vain while we had no authority.
-	last := maxTime(m.seen, maxTime(m.in.Since, l.regained))
+	last := maxTime(seen, maxTime(m.in.Since, l.regained))
 	if !m.reported {
 		last = maxTime(last, maxTime(m.since, l.since))
 	}
--- a/internal/core/schedule_users.go
+++ b/internal/core/schedule_users.go
@@ -250,15 +250,19 @@
 		c.addSchedule(s)
 		c.written(s, func() { s.reply(c, c.viewOf(s, 201)) })
 	}
-	ch := &change{size: rec.Size(), when: []Cond{{key, 0}}, writes: []Write{{Key: key, Value: rec}}}
+	ch := &change{size: rec.Size(), when: c.newSchedule(key), writes: []Write{{Key: key, Value: rec}}}
 	ch.done = func(rev uint64) {
 		c.note(slog.LevelInfo, "schedule created", "schedule", s.name, "number", rec.Number)
 		made(rec, rev)
 	}
 	ch.failed = func() { // a try of ours whose outcome was not known
 		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
-			if found == nil {
-				c.lead.pipe.add(ch)
+			if found == nil { // another schedule was removed meanwhile
+				c.readBackKey(numberKey, func(e Entry, _ bool) {
+					c.lead.sched.numberRev = e.Rev
+					ch.when = c.newSchedule(key)
+					c.lead.pipe.add(ch)
+				})
 				return
 			}
 			made(found, rev)
@@ -271,6 +275,14 @@
 	c.lead.pipe.add(ch)
 }
 
+// newSchedule is the condition on which the first record of a schedule is written. A try
+// that got no answer may be carried out late, after the schedule was removed again: with
+// every removal the numbers' record is written as well, so that such a try finds another
+// revision of it.
+func (c *Core) newSchedule(key string) []Cond {
+	return []Cond{{key, 0}, {numberKey, c.lead.sched.numberRev}}
+}
+
 // number has f called with a number that no schedule ever had. Numbers are taken
 // from the state service in blocks; what is left of a block when a leader ends
 // is not used.
@@ -316,7 +328,8 @@
 		}
 		c.lead.pipe.add(&change{
 			when: []Cond{{numberKey, rev}}, writes: []Write{{Key: numberKey, Value: &NumberRecord{from + numberBlock}}},
-			done: func(uint64) {
+			done: func(rev uint64) {
+				sch.numberRev = rev
 				sch.next, sch.last, sch.numbering = from, from+numberBlock, false
 				c.handOutNumbers()
 			},
@@ -333,12 +346,22 @@
 	s.busy, s.asker = true, &call
 	s.gen++
 	key := scheduleKeys + s.name
-	ch := &change{when: []Cond{{key, s.rev}}, writes: []Write{{Key: key}}}
+	ch := &change{}
 	done := func() {
 		c.note(slog.LevelInfo, "schedule removed", "schedule", s.name)
 		s.reply(c, AnswerUser{Status: 200, Doc: map[string]string{"name": s.name, "status": "removed"}})
 		c.forgetSchedule(s)
 	}
+	remove := func(rev uint64) {
+		c.readBackKey(numberKey, func(e Entry, found bool) {
+			ch.when = []Cond{{key, rev}, {numberKey, e.Rev}}
+			ch.writes = []Write{{Key: key}}
+			if found && e.Value != nil { // see newSchedule
+				ch.writes = append(ch.writes, Write{Key: numberKey, Value: e.Value})
+			}
+			c.lead.pipe.add(ch)
+		})
+	}
 	ch.done = func(uint64) { done() }
 	ch.failed = func() {
 		c.readSchedule(s, func(found *schedule.Record, rev uint64) {
@@ -346,11 +369,10 @@
 				done()
 				return
 			}
-			ch.when[0].Rev = rev
-			c.lead.pipe.add(ch)
+			remove(rev)
 		})
 	}
-	c.lead.pipe.add(ch)
+	remove(s.rev)
 }
 
 // pauseSchedule pauses a schedule, or resumes it: what would have run meanwhile
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -29,6 +29,7 @@
 	numbers    []func(n uint64, ok bool) // who waits for a number
 	next, last uint64                    // numbers at hand: next to last
 	numbering  bool
+	numberRev  uint64         // of their record, as we know it
 	unresolved []occurrenceOf // made by an earlier leader, over since
 
 	made, missed, late int64 // by this leader
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -13,6 +13,7 @@
 var (
 	verbose = flag.Bool("trace", false, "print what the controllers log")
 	seeds   = flag.Uint64("seeds", 40, "how many random fault mixes to play")
+	all     = flag.Bool("meetings", false, "play every two of the troubles that may meet, not a part")
 )
 
 func play(t *testing.T, text string) Result {
--- a/internal/scenario/schedules.go
+++ b/internal/scenario/schedules.go
@@ -167,6 +167,8 @@
 func (c *clerk) holds(e []string) bool {
 	r, ok := c.kept()
 	switch e[0] {
+	case "removed": // and is not on record
+		return !ok
 	case "made":
 		return ok && compare(int(r.Made), e[2])
 	case "missed":
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -339,7 +339,7 @@
 		return compare(s.killed, e[1])
 	case "requests": // to the state service
 		return compare(s.store.requests, e[1])
-	case "made", "missed", "late", "whole", "history":
+	case "made", "removed", "missed", "late", "whole", "history":
 		return s.clerks[e[1]].holds(e)
 	case "leaders":
 		n := 0
