--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
+
+	"yewpass/internal/core"
 )
 
 // meeting has long tasks, jobs of two and three tasks that end far apart, many cancellations
@@ -95,3 +98,85 @@
 		}
 	})
 }
+
+// TestMeetingsPlanted: an error planted for each of the words is found by the rules, and
+// without it none is broken.
+func TestMeetingsPlanted(t *testing.T) {
+	for name, x := range map[string]struct {
+		text, finds string
+		plant       func(s *script)
+	}{
+		"late writes": {few(3, 2) + `
+team t
+at 5s late_writes 1s share=1
+at 5100ms submit wk-1 run=2s
+at 30s crash leader back=2s
+expect met late-write >0
+expect started =1
+run 120s`, "started =1", func(s *script) {
+			s.lie = func(n *node, out any) any { // changes without conditions but the term
+				if call, ok := out.(core.StoreCall); ok && call.Op == core.StoreTxn && len(call.Then) > 0 {
+					call.When = slices.DeleteFunc(slices.Clone(call.When), func(w core.Cond) bool { return strings.Contains(w.Key, "wk-") })
+					return call
+				}
+				return out
+			}
+		}},
+		"late reports": {few(3, 4) + `
+team t
+at 2s late_reports 60s share=1
+at 5s burst 10 gap=2s tasks=3 run=20s
+expect met late-report >10
+expect done all
+run 200s`, "ran_twice", func(s *script) {
+			last := uint64(1000)
+			s.hears = func(n *node, in any) any { // whatever comes later is newer
+				if r, ok := in.(core.ReportIn); ok {
+					last++
+					r.Report.Counter = last
+					return r
+				}
+				return in
+			}
+		}},
+		"machine_deaf": {few(3, 4) + `
+team t
+at 5s submit wk-1 run=60s tasks=12
+at 9s machine_deaf 1 60s
+at 9500ms crash leader back=2s
+at 16s outage cloud 60s
+expect met deaf-answer >2
+expect done all
+run 250s`, "ran_twice", func(s *script) {
+			releases := map[uint64]bool{}
+			s.lie = func(n *node, out any) any {
+				if call, ok := out.(core.CloudCall); ok && call.Op == core.CloudRelease {
+					releases[call.Ref] = true
+				}
+				return out
+			}
+			s.hears = func(n *node, in any) any { // a release that was refused counts
+				if r, ok := in.(core.CloudReply); ok && releases[r.Ref] {
+					r.Outcome = core.OK
+					return r
+				}
+				return in
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, x.text)
+			s, err := read(x.text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			x.plant(s)
+			res, err := s.play()
+			found := append(res.Violations, res.Unmet...)
+			if err != nil || !slices.ContainsFunc(found, func(v string) bool { return strings.Contains(v, x.finds) }) {
+				t.Errorf("not found: %v %v", err, found)
+			}
+		})
+	}
+}
--- a/internal/scenario/orders_test.go
+++ b/internal/scenario/orders_test.go
@@ -30,6 +30,7 @@
 	events []string      // what happens some time in it, as scenario actions
 	races  []string      // kinds of messages whose order is open; "kind a" only those from a
 	loses  []string      // kinds one message of which may be lost
+	copies []string      // kinds one message of which may arrive twice, the second time whenever
 	passes []time.Duration
 	depth  int // choices
 	orders int // how many orders there are: the same each time
@@ -121,6 +122,21 @@
 		from: 9 * time.Second, events: []string{"restart 1 back=50ms anew", "crash leader back=50ms"},
 		races: []string{"report", "reply", "probe"}, passes: []time.Duration{500 * time.Millisecond, 22 * time.Second}, depth: 3, orders: 162,
 	},
+	{
+		name: "a late acceptance", text: tiny + "team t\nat 5.9s submit wk-1 run=2s\nat 40s crash leader back=2s\nrun 150s\nexpect over\nexpect leaders =1",
+		from: 5900 * time.Millisecond, events: []string{"again wk-1"},
+		races: []string{"txn", "txn answer"}, passes: []time.Duration{1600 * time.Millisecond, 9 * time.Second}, depth: 3, orders: 104,
+	},
+	{
+		name: "a report that arrives twice", text: tiny + "team t\nat 5.9s submit wk-1 run=40s tasks=3\nrun 180s\nexpect over\nexpect leaders =1",
+		from: 5900 * time.Millisecond, events: []string{"crash leader back=3s"},
+		races: []string{"report", "reply"}, copies: []string{"report"}, passes: []time.Duration{600 * time.Millisecond, 5 * time.Second}, depth: 3, orders: 113,
+	},
+	{
+		name: "a machine that does not hear", text: tiny + "team t\nat 5s submit wk-1 run=40s tasks=3\nat 8s outage cloud 60s\nrun 250s\nexpect over\nexpect leaders =1",
+		from: 9 * time.Second, events: []string{"machine_deaf 1 16s", "crash leader back=2s"},
+		races: []string{"reply", "probe"}, passes: []time.Duration{3 * time.Second, 15 * time.Second}, depth: 3, orders: 127,
+	},
 }
 
 // racing is one play of an ordering.
@@ -130,6 +146,7 @@
 	hand []*waiting
 	on   bool
 	lost bool
+	copy bool
 }
 
 // waiting is something that may happen next.
@@ -164,7 +181,7 @@
 		}
 		return true
 	}
-	if slices.Contains([]string{"txn", "txn answer", "call", "answer"}, x.kind) {
+	if slices.Contains([]string{"txn", "txn answer", "call", "answer"}, x.kind) || strings.HasPrefix(x.kind, "late ") {
 		return true // each on a connection of its own
 	}
 	return !slices.ContainsFunc(r.hand[:i], func(y *waiting) bool { return y.kind == x.kind && y.a == x.a && y.b == x.b })
@@ -182,6 +199,13 @@
 			continue
 		}
 		os = append(os, option{x.String(), func() { r.happens(x, true) }})
+		if slices.Contains(r.o.copies, x.kind) && !r.copy {
+			os = append(os, option{"twice: " + x.String(), func() {
+				r.copy = true
+				r.hand = append(r.hand, &waiting{"late " + x.kind, x.a, x.b, x.do})
+				r.happens(x, true)
+			}})
+		}
 		if slices.Contains(r.o.loses, x.kind) && !r.lost {
 			os = append(os, option{"lost: " + x.String(), func() { r.lost = true; r.happens(x, false) }})
 		}
@@ -221,12 +245,12 @@
 
 // playOrder plays one order of choices; choices beyond those given are the first
 // option. widths says how many options each choice had, names which was taken.
-func playOrder(o *ordering, choices []int, lie func(n *node, out any) any) (widths []int, names []string, res Result) {
+func playOrder(o *ordering, choices []int, lie, hears func(n *node, x any) any) (widths []int, names []string, res Result) {
 	s, err := read(o.text)
 	if err != nil {
 		panic(err)
 	}
-	s.lie = lie
+	s.lie, s.hears = lie, hears
 	s.begin()
 	r := &racing{script: s, o: o}
 	s.net.take = r.takes
@@ -280,10 +304,10 @@
 }
 
 // eachOrder plays every order, several at a time, until f says no.
-func eachOrder(o *ordering, lie func() func(n *node, out any) any, f func(choices []int, names []string, res Result) bool) (played int) {
+func eachOrder(o *ordering, lie, hears func() func(n *node, x any) any, f func(choices []int, names []string, res Result) bool) (played int) {
 	var count atomic.Int64
 	var stop atomic.Bool
-	widths, _, _ := playOrder(o, nil, lie())
+	widths, _, _ := playOrder(o, nil, lie(), hears())
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	slots := make(chan struct{}, 8)
@@ -292,7 +316,7 @@
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			for choices := []int{first}; !stop.Load(); {
-				ws, names, res := playOrder(o, choices, lie())
+				ws, names, res := playOrder(o, choices, lie(), hears())
 				count.Add(1)
 				choices = append(choices, make([]int, len(ws)-len(choices))...)
 				mu.Lock()
@@ -344,7 +368,7 @@
 					}
 					choices = append(choices, n)
 				}
-				_, names, res := playOrder(o, choices, nil)
+				_, names, res := playOrder(o, choices, nil, nil)
 				t.Log(complaint(o.name, choices, names, res))
 				if len(res.Violations)+len(res.Unmet) > 0 {
 					t.Fail()
@@ -355,7 +379,7 @@
 		t.Run(o.name, func(t *testing.T) {
 			t.Parallel()
 			bad := 0
-			n := eachOrder(o, honest, func(choices []int, names []string, res Result) bool {
+			n := eachOrder(o, honest, honest, func(choices []int, names []string, res Result) bool {
 				if len(res.Violations)+len(res.Unmet) > 0 {
 					bad++
 					t.Error(complaint(o.name, choices, names, res))
@@ -441,7 +465,7 @@
 			o, found := orderings[i], ""
 			// A user who asks again would mend what the lie has broken.
 			o.events = slices.DeleteFunc(slices.Clone(o.events), func(e string) bool { return strings.HasPrefix(e, "again") })
-			n := eachOrder(&o, p.lie, func(choices []int, names []string, res Result) bool {
+			n := eachOrder(&o, p.lie, honest, func(choices []int, names []string, res Result) bool {
 				for _, v := range res.Violations {
 					if strings.Contains(v, " "+p.rule+":") {
 						found = complaint(p.set, choices, names, res)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -42,10 +42,11 @@
 	moves              int // workers that went from a node that had served them to another
 	killed             int // tasks that ended with their lease
 	polls              int
-	tries              map[core.TaskID]uint64   // the latest attempt that a worker was told to start
-	lie                func(n *node, o any) any // what a planted error makes of an output
-	address            func(host string) string // where a worker takes commands
-	given              time.Time                // when the answer at hand was given
+	tries              map[core.TaskID]uint64    // the latest attempt that a worker was told to start
+	lie                func(n *node, o any) any  // what a planted error makes of an output
+	hears              func(n *node, in any) any // and of an input
+	address            func(host string) string  // where a worker takes commands
+	given              time.Time                 // when the answer at hand was given
 	answered, failures []time.Time
 	trace              func(string)
 	measure            func(n *node, in any) []any // has the core take an input, in place of input
@@ -325,6 +326,9 @@
 		}
 		return
 	}
+	if n.hears != nil {
+		in = n.hears(n, in)
+	}
 	var outs []any
 	if n.measure != nil {
 		outs = n.measure(n, in)
