A job that has waited for two minutes begins with one task, ahead of its turn

Need: the largest jobs of a class have to begin within four minutes as well.

Jobs of which nothing has run for begin_within_s (policy, 120 s) have their first booked task started on the next machine with room for it, one each, 64 at a time, oldest first, within guarantees and limits; where it is booked and lacks room, nothing starts that stands in its way. All other tasks keep their turn.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -52,6 +52,7 @@
 	localTill time.Time  // until then it starts only where its image is
 	running   int        // tasks that workers report as running or saving
 	ended     []*run     // completed, and not known to be on record
+	ran       bool       // a task of it has run, or is done
 	sched     *scheduled // whose occurrence it is, or nil
 	begun     bool       // and has been noted to have started
 }
@@ -87,6 +88,7 @@
 	for i := range j.spec.Tasks {
 		if j.done.has(i) {
 			j.left--
+			j.ran = true
 		} else if j.runs[i] == nil {
 			j.pending.set(i)
 			j.waiting++
@@ -132,6 +134,7 @@
 		c.unbookOne(j)
 	}
 	j.done.set(i)
+	j.ran = true
 	j.left--
 	j.any = true
 	j.failures = 0
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -44,6 +44,7 @@
 	teams      map[string]*team
 	guarantees bool // some team has one
 	queue      waitQueue
+	overdue    []*job // of which nothing has run for too long
 	est        estimates
 
 	machines    map[string]*machine
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -473,6 +473,7 @@
 	r.counted = runs
 	if runs {
 		r.job.running++
+		r.job.ran = true
 		if r.job.sched != nil {
 			c.occurrenceStarted(r.job)
 		}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -539,6 +539,46 @@
 // couldStart reports whether a task of the job may start now wherever it fits.
 func (c *Core) couldStart(j *job) bool { return c.mayStart(j) && j.team.room(j.need, 1) > 0 }
 
+// overdueMost is how many jobs at a time have a first task started ahead of their turn.
+const overdueMost = 64
+
+// lookForOverdue finds the jobs of which nothing has run for long after they were submitted.
+// By their turn they might not begin for as long as smaller and more pressing ones come.
+func (c *Core) lookForOverdue(within time.Duration) {
+	l := c.lead
+	l.overdue = l.overdue[:0]
+	for _, j := range l.queue {
+		if !j.ran && len(j.runs) == 0 && c.now.Sub(j.submitted) > within {
+			l.overdue = append(l.overdue, j)
+		}
+	}
+	slices.SortStableFunc(l.overdue, func(a, b *job) int { return a.submitted.Compare(b.submitted) })
+	l.overdue = l.overdue[:min(len(l.overdue), overdueMost)]
+	l.dirty = l.dirty || len(l.overdue) > 0
+}
+
+// startOverdue starts a first task of jobs that have waited for long, one each, as far as
+// guarantees and limits let it; blocked reports whether one waits here for more room.
+func (c *Core) startOverdue(m *machine) (os []Order, blocked bool) {
+	l := c.lead
+	for _, j := range l.overdue {
+		if len(j.books) == 0 || len(j.runs) > 0 || !m.eligible(j) || !c.mayStart(j) || j.team.room(j.need, 1) == 0 || c.placeRoom(j, m, 1) == 0 ||
+			l.guarantees && j.team.guaranteed(j.need, 1) == 0 || m.suspect && len(m.runs) > 0 {
+			continue
+		}
+		if !j.need.Fits(m.room()) {
+			blocked = blocked || m.bookedFor(j)
+			continue
+		}
+		b := j.books[0]
+		os = append(os, c.start(b, m))
+		if b.each > 0 {
+			c.stepUp(j, 1)
+		}
+	}
+	return os, blocked
+}
+
 // barredMost is how many jobs one reply finds in the way of something larger before it
 // leaves the rest of the queue to later ones. Each look goes over the machine's timeline:
 // with hundreds of small jobs waiting on full machines (a guest's many single tasks) that
@@ -557,8 +597,8 @@
 	if room.CPU <= 0 || len(l.queue) == 0 || !c.acts() || !m.reported || m.record != recorded || !m.usable() || !m.in.Takes() || c.now.Before(m.retryAt) || l.owed[m.host] || l.tries > maxTries-startsMost {
 		return nil
 	}
-	var os []Order
-	blocked := false
+	os, blocked := c.startOverdue(m)
+	room = m.room()
 	var barred []timeline.Booking // what has been found to stand in its way
 	// What lies within a team's guarantee goes first: borrowing is for what is
 	// left unused.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -235,6 +235,7 @@
 	secs := timeline.Seconds
 	l.holdIdle, l.holdBusy = secs(c.pol.HoldIdle(e)), secs(c.pol.HoldBusy(e))
 	l.margin = c.pol.Margin(e)
+	c.lookForOverdue(secs(c.pol.BeginWithin(e)))
 	silent, idle := secs(c.pol.SilentRelease(e)), secs(c.pol.IdleReturn(e))
 	if !c.acts() {
 		return
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -32,9 +32,9 @@
 
 // Policy is a checked set of expressions. It is not for concurrent use.
 type Policy struct {
-	never                                                                          bool // refuse is plainly false
-	refuse                                                                         *vm.Program
-	margin, warm, rent, ordinary, idle, silent, takeover, keep, holdIdle, holdBusy *vm.Program
+	never                                                                                 bool // refuse is plainly false
+	refuse                                                                                *vm.Program
+	margin, warm, rent, ordinary, idle, silent, takeover, keep, begin, holdIdle, holdBusy *vm.Program
 }
 
 // Parse returns the defaults, overridden by the settings in data.
@@ -62,7 +62,7 @@
 	p := &Policy{never: strings.TrimSpace(text["refuse"]) == "false"}
 	progs := map[string]**vm.Program{
 		"refuse": &p.refuse, "margin": &p.margin, "warm": &p.warm, "rent_backlog_s": &p.rent, "ordinary_backlog_s": &p.ordinary, "idle_return_s": &p.idle,
-		"silent_release_s": &p.silent, "takeover_release_s": &p.takeover, "zone_keep_s": &p.keep, "hold_idle_s": &p.holdIdle, "hold_busy_s": &p.holdBusy,
+		"silent_release_s": &p.silent, "takeover_release_s": &p.takeover, "zone_keep_s": &p.keep, "begin_within_s": &p.begin, "hold_idle_s": &p.holdIdle, "hold_busy_s": &p.holdBusy,
 	}
 	names := make([]string, 0, len(progs))
 	for name := range progs {
@@ -145,6 +145,10 @@
 // ZoneKeep is for how many seconds all machines of a zone that is cut off are kept.
 func (p *Policy) ZoneKeep(e Env) float64 { return number(p.keep, e) }
 
+// BeginWithin is for how many seconds a job may wait until its first task is started
+// ahead of its turn.
+func (p *Policy) BeginWithin(e Env) float64 { return number(p.begin, e) }
+
 // HoldIdle and HoldBusy are how long a report's reply is held, in seconds.
 func (p *Policy) HoldIdle(e Env) float64 { return number(p.holdIdle, e) }
 
