--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -554,7 +554,6 @@
 	}
 	slices.SortStableFunc(l.overdue, func(a, b *job) int { return a.submitted.Compare(b.submitted) })
 	l.overdue = l.overdue[:min(len(l.overdue), overdueMost)]
-	l.dirty = l.dirty || len(l.overdue) > 0
 }
 
 // startOverdue starts a first task of jobs that have waited for long, one each, as far as
