Losses under a living leader are found; rebooking keeps to a part of the processor share

Need: the loss of single records was missed while their leader lived (issue on rebuilding). The leader reads 100 live records every 2 s, and one final record that its copy has, and compares (rebuild.Missing, core/search.go). State of the records in yewpass cluster and metrics.

--- a/cmd/yewpass/cluster.go
+++ b/cmd/yewpass/cluster.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -72,4 +74,15 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\n", z.Name, z.State, since, z.Heard, z.Silent, z.Unknown)
 	}
 	w.Flush()
+	if r := v.Records; r != nil {
+		fmt.Fprintf(out, "\nrecords: era %d, whole copies at %s", r.Era, cmp.Or(strings.Join(r.Copies, ", "), "no other node"))
+		if r.Lost != "" {
+			fmt.Fprintf(out, "; data was lost %s ago (%s), %d restored from %s, %d not on record yet",
+				time.Duration(r.SinceS*float64(time.Second)).Round(time.Second), r.Lost, r.Restored, cmp.Or(r.From, "no copy"), r.Left)
+		}
+		if len(r.Unread) > 0 {
+			fmt.Fprintf(out, "; cannot be read: %s", strings.Join(r.Unread, ", "))
+		}
+		fmt.Fprintln(out)
+	}
 }
--- a/internal/core/cluster.go
+++ b/internal/core/cluster.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"yewpass/internal/zones"
@@ -20,7 +22,37 @@
 	Unaccounted int           `json:"machinesUnaccounted"` //
 	MachineMost int           `json:"machinesMost"`        // that the controllers can serve
 	Nodes       []ClusterNode `json:"nodes"`
-	Zones       []ClusterZone `json:"zones,omitempty"` // told by the leader alone
+	Zones       []ClusterZone `json:"zones,omitempty"`   // told by the leader alone
+	Records     *Records      `json:"records,omitempty"` // likewise
+}
+
+// Records tells how whole the records in the state service are.
+type Records struct {
+	Era      uint64   `json:"era"`                  // drawn anew after each loss of data
+	Lost     string   `json:"lost,omitempty"`       // what showed the last loss, under this leader
+	From     string   `json:"from,omitempty"`       // whose copy was gone by; "" where there was none
+	SinceS   float64  `json:"sinceSeconds"`         // since it was found
+	Restored int      `json:"restored"`             // records that were lost or older
+	Left     int      `json:"left"`                 // of them, not on record yet
+	Unread   []string `json:"unreadable,omitempty"` // jobs whose records cannot be read, ten at the most
+	Copies   []string `json:"copies,omitempty"`     // controllers that have a whole copy, this one aside
+}
+
+// records tells how whole the records are, as the leader knows.
+func (c *Core) records() *Records {
+	l := c.lead
+	r := &Records{Era: c.known.Era}
+	if b := l.rebuild; b != nil {
+		r.Lost, r.From, r.SinceS, r.Restored, r.Left = b.why, b.from, c.now.Sub(b.since).Seconds(), b.restored, b.left
+	}
+	r.Unread = slices.Sorted(maps.Keys(l.unread))
+	r.Unread = r.Unread[:min(len(r.Unread), 10)]
+	for _, s := range c.cfg.Seeds {
+		if h := l.holders[s.HostName]; h != nil && h.Whole() {
+			r.Copies = append(r.Copies, s.HostName)
+		}
+	}
+	return r
 }
 
 // ClusterZone is a zone of machines.
@@ -52,7 +84,7 @@
 		v.Leader, v.Term, v.LeadsS, v.Authority = c.cfg.HostName, l.term, c.now.Sub(l.since).Seconds(), c.leads()
 		v.TookOver, v.Machines, v.Unaccounted, v.MachineMost = l.loaded && l.settled(), len(l.fleet), len(l.owed), c.fleetMost()
 		own.Role, own.Workers = "leader", l.relay("").workers
-		v.Zones = c.clusterZones()
+		v.Zones, v.Records = c.clusterZones(), c.records()
 	} else if !c.linked() {
 		own.Role = "away"
 	}
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -108,7 +108,11 @@
 			return true
 		}
 		ch.failed = func() { // an earlier try of ours has been applied
-			c.readBackKey(g.key, func(e Entry, _ bool) {
+			dropped := ch.writes[0].Value == nil
+			c.readBackKey(g.key, func(e Entry, found bool) {
+				if dropped && !found {
+					c.unkeep(g.key)
+				}
 				g.rev = e.Rev // 0 if there is none
 				c.writeGroup(g, ln)
 			})
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -49,6 +49,7 @@
 	turn      time.Time       // of the first, while queued
 	queued    bool
 	unplaced  bool       // to be booked soon
+	rebooked  time.Time  // when its bookings were last looked at again
 	localTill time.Time  // until then it starts only where its image is
 	running   int        // tasks that workers report as running or saving
 	ended     []*run     // completed, and not known to be on record
@@ -276,6 +277,7 @@
 func (c *Core) closed(j *job, f FinalRecord) {
 	l := c.lead
 	c.final.Add(j.spec.ID, f)
+	c.unkeep(jobKeys + j.spec.ID) // however we have learned that it is over
 	delete(l.jobs, j.spec.ID)
 	j.team.jobs--
 	c.unbook(j)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -83,6 +83,7 @@
 	copying    bool
 	endsFrom   string // who tells us how jobs have ended
 	ends       snapshot.Holder
+	search     searching
 	scheduling int           // of them, those that schedules are read from
 	fresh      bool          // no term was on record before ours
 	lag        time.Duration // for so long into our term an earlier leader may have led
@@ -588,6 +589,7 @@
 		c.followAlone()
 	}
 	c.loadSchedulesSoon()
+	c.whenLeading(c.jitter(searchEvery), c.searchRecords)
 	c.tickLead()
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -491,13 +491,22 @@
 	}
 }
 
-// rebookMost is how many jobs are looked at again at a time on a fleet of so many
-// machines: each asks all of them.
-func rebookMost(machines int) int {
-	if machines <= 1400 {
-		return 24
-	}
-	return max(2, visitsMost/machines)
+const (
+	// rebookMost is how many jobs are looked at again at a time, at the most.
+	rebookMost = 24
+	// rebookVisits is how many machines may be asked for that in a second, for a whole
+	// core: about a fifth of its time. With a long queue on a full fleet all of it is due
+	// all the time, and little comes of it; reports, users and the grant go first.
+	rebookVisits = 120_000
+	// rebookEvery is how often one job is looked at again.
+	rebookEvery = 2 * time.Second
+)
+
+// rebookLimit is how many jobs are looked at again in one look of the leader's: each asks
+// every machine.
+func (c *Core) rebookLimit() int {
+	visits := c.cfg.Settings.Limits.CPUShare * rebookVisits * tickEvery.Seconds()
+	return min(rebookMost, max(2, int(visits)/max(1, len(c.lead.fleet))))
 }
 
 // rebook finds new slots for jobs that have bookings whose time has come without
@@ -508,7 +517,8 @@
 		if len(due) >= limit {
 			break
 		}
-		if b := j.books[0]; b.m == nil || b.Start.Before(c.now.Add(-300*time.Millisecond)) {
+		if b := j.books[0]; (b.m == nil || b.Start.Before(c.now.Add(-300*time.Millisecond))) && c.now.Sub(j.rebooked) > rebookEvery {
+			j.rebooked = c.now
 			due = append(due, j)
 		}
 	}
--- a/internal/core/rebuild.go
+++ b/internal/core/rebuild.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// unkeep takes a record out of the copy that we have dropped, however we have learned that
+// it is gone. That it is not there is not enough: it may have been lost, and the copy is then
+// all that is left of it.
+func (c *Core) unkeep(key string) {
+	if own := c.ownCopy(); own != nil {
+		if _, ok := own.Get(key); ok {
+			c.passOnCopy(nil, []string{key})
+		}
+	}
+}
+
 // keepAlone takes a job that was accepted without a leader into the copies of all who are
 // in reach: until a leader has taken it on, nobody else knows of it.
 func (c *Core) keepAlone(rec *JobRecord, rev uint64) {
@@ -382,6 +393,8 @@
 	restored int // records that were lost or older
 	left     int // of them, not on record yet
 	since    time.Time
+	why      string // what showed the loss
+	from     string // whose copy was gone by
 }
 
 // ask begins to gather.
@@ -416,6 +429,13 @@
 		}
 		g.told[from] = k
 		c.rebuilt()
+	} else if l.fresh && k.Era == c.known.Era && k.Term > l.term && k.Old < l.term {
+		// Of the same data: somebody leads after us, and we were cut off meanwhile.
+		if c.leads() {
+			c.doubt("a newer term is known", func() {})
+		} else {
+			c.stepDown("a newer term is known")
+		}
 	} else if l.fresh && k.Below(c.known.Era, l.term, c.life) {
 		// Nothing was on record and nobody in reach when we began; now somebody is.
 		c.begunBelow(max(k.Old, k.Term))
@@ -728,7 +748,7 @@
 		if from == "" && g.copy != nil {
 			from = c.cfg.HostName
 		}
-		l.rebuild = &rebuilding{restored: len(l.restore), left: len(l.restore), since: c.now}
+		l.rebuild = &rebuilding{restored: len(l.restore), left: len(l.restore), since: c.now, why: g.lost, from: from}
 		c.note(slog.LevelError, "rebuilding after a loss of data", "term", l.term, "era", c.known.Era, "reason", g.lost, "copy of", from, "records", len(records), "restored", len(l.restore))
 		if g.copy == nil {
 			c.note(slog.LevelError, "no copy of the records is left: what the state service has lost is lost", "term", l.term)
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -271,7 +271,7 @@
 	c.keepWarm(c.pol.Warm(e))
 	c.giveBack()
 	c.consolidate()
-	c.rebook(rebookMost(len(l.fleet)))
+	c.rebook(c.rebookLimit())
 	// Releases go first: a take-over may wait for one, and rentals use up what
 	// calls the cloud allows for as long as there is a backlog.
 	c.pumpReleases()
--- /dev/null
+++ b/internal/core/search.go
@@ -0,0 +1,96 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"yewpass/internal/rebuild"
+	"yewpass/internal/snapshot"
+)
+
+// A service that loses single records under a living leader says nothing, and the term
+// stands. So the leader reads what it has of them over and over, a little at a time, and
+// compares it with its own copy: what is missing there is a loss like any other, which the
+// next leader mends by the copies. Of the records of jobs that have ended, of which there
+// may be any number, one that the copy has is asked for each time.
+const (
+	searchEvery = 2 * time.Second
+	searchPart  = 100 // records
+)
+
+// searching is how far the leader has come.
+type searching struct {
+	place int    // of the prefix
+	from  string // the key before
+	final int    // of those that have ended
+}
+
+var searched = []string{liveKeys, scheduleKeys}
+
+// searchRecords reads on, now and every while.
+func (c *Core) searchRecords() {
+	l := c.lead
+	c.whenLeading(searchEvery, c.searchRecords)
+	own := c.ownCopy()
+	if own == nil || !c.acts() || len(l.restore) > 0 || l.rebuild != nil && l.rebuild.left > 0 || !c.reads.AllowN(c.now, 2) {
+		return
+	}
+	s := &l.search
+	prefix, asked := searched[s.place], c.known.Rev
+	c.leaderStore(StoreCall{Op: StoreList, Key: prefix, From: s.from, Limit: searchPart}, func(r StoreReply) {
+		if r.Outcome != OK || c.ownCopy() != own {
+			return
+		}
+		p := rebuild.Page{Prefix: prefix, From: s.from, Asked: asked}
+		for _, e := range r.Entries {
+			p.Listed = append(p.Listed, snapshot.Record{Key: e.Key, Rev: e.Rev})
+		}
+		if n := len(r.Entries); r.More && n > 0 {
+			p.To = r.Entries[n-1].Key
+		} else {
+			s.place = (s.place + 1) % len(searched)
+		}
+		s.from = p.To
+		if keys := rebuild.Missing(own, p, c.unsettledKey); len(keys) > 0 {
+			c.missed(own, keys[0])
+		}
+	})
+	if keys := own.Latest(); len(keys) > 0 {
+		s.final = (s.final + 1) % len(keys)
+		c.missed(own, keys[s.final])
+	}
+}
+
+// unsettledKey reports whether a change of the key is on its way, or has been sent without
+// our knowing what became of it.
+func (c *Core) unsettledKey(key string) bool {
+	p := &c.lead.pipe
+	if p.busy[key] {
+		return true
+	}
+	for _, list := range p.waits {
+		for _, ch := range list {
+			if ch.sent && slices.ContainsFunc(ch.writes, func(w Write) bool { return w.Key == key }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// missed asks for a record that seems to be missing or old. That it is shows that data was
+// lost, if nothing of ours has changed it since.
+func (c *Core) missed(own *snapshot.Copy, key string) {
+	was, ok := own.Get(key)
+	if !ok || was.Rev == 0 || c.unsettledKey(key) {
+		return
+	}
+	c.leaderStore(StoreCall{Op: StoreGet, Key: key}, func(r StoreReply) {
+		now, still := own.Get(key)
+		gone := r.Outcome == Missing || r.Outcome == OK && r.Entries[0].Rev < was.Rev
+		if gone && still && now.Rev == was.Rev && c.ownCopy() == own && !c.unsettledKey(key) {
+			c.suspect("a record is missing or old that a copy has: " + strings.TrimPrefix(key, rootKey))
+		}
+	})
+}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -11,6 +11,8 @@
 	BacklogSeconds          float64
 	Direct, Relays, Passed  int  // machines that report to the leader itself; nodes that take others for it; workers that report here to be passed on
 	ZonesAway, MachinesAway int  // zones that are doubtful or lost; silent machines there
+	RecordsLeft, Unreadable int  // records that a loss has taken and that are not on record again; jobs whose records cannot be read
+	Copies                  int  // controllers that have a whole copy of the records, this one aside
 	Full                    bool // no more machines are rented: the controllers could not serve them
 
 	Schedules                                           int   // read by this leader
@@ -28,6 +30,15 @@
 	s.Jobs, s.Machines, s.Unaccounted, s.BacklogSeconds = len(l.jobs), len(l.fleet), len(l.owed), l.rent.backlog.Seconds()
 	s.Direct, s.Relays, s.Full = l.relay("").workers, len(c.nodes()), l.rent.full
 	s.Schedules = len(l.sched.names)
+	s.Unreadable = len(l.unread)
+	if l.rebuild != nil {
+		s.RecordsLeft = l.rebuild.left
+	}
+	for _, h := range l.holders {
+		if h.Whole() {
+			s.Copies++
+		}
+	}
 	s.OccurrencesMade, s.OccurrencesMissed, s.OccurrencesLate = l.sched.made, l.sched.missed, l.sched.late
 	for _, j := range l.jobs {
 		s.Waiting += j.waiting
--- /dev/null
+++ b/internal/rebuild/missing.go
@@ -0,0 +1,32 @@
+package rebuild
+
+import "yewpass/internal/snapshot"
+
+// Page is a part of a list of records under a prefix.
+type Page struct {
+	Prefix string
+	From   string // after this key
+	To     string // up to this one; "" for the last part
+	Listed []snapshot.Record
+	Asked  uint64 // the service's revision that was known when the part was asked for
+}
+
+// Missing returns the keys whose records a copy has and a list lacks, or has from before:
+// those that the service was known to have when it was asked. busy tells of keys whose change
+// is on its way, or may have been made without our knowing.
+func Missing(c *snapshot.Copy, p Page, busy func(key string) bool) (keys []string) {
+	listed := make(map[string]uint64, len(p.Listed))
+	for _, r := range p.Listed {
+		listed[r.Key] = r.Rev
+	}
+	for _, key := range c.Keys(p.Prefix) {
+		r, _ := c.Get(key)
+		if key <= p.From || p.To != "" && key > p.To || r.Rev == 0 || r.Rev > p.Asked || busy(key) {
+			continue
+		}
+		if rev, ok := listed[key]; !ok || rev < r.Rev {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -606,10 +606,12 @@
 			w.cloud.down = w.now.Add(span(f[2]))
 		}
 	case "wipe": // wipe [under=PREFIX] [rev]: the state service loses keys; rev: and begins again
+		w.lossy = true
 		w.store.wipe(args(f[1:])["under"], args(f[1:])["rev"] != "")
 	case "save": // save: what a later restore brings back
 		w.saved = w.store.save()
 	case "restore":
+		w.lossy = true
 		w.saved()
 	case "deaf": // the cloud answers releases and carries none out
 		w.cloud.deaf = w.now.Add(span(f[1]))
@@ -729,6 +731,7 @@
 	case "pause", "resume", "remove", "start":
 		w.clerks[f[1]].ask(map[string]core.UserOp{"pause": core.OpSchedulePause, "resume": core.OpScheduleResume, "remove": core.OpScheduleDelete, "start": core.OpScheduleRun}[f[0]], args(f[2:]))
 	case "damage": // damage PREFIX VALUE: what the first key below the prefix holds
+		w.lossy = true
 		for _, k := range w.store.sorted(f[1])[:1] {
 			w.store.keys[k].value = json.RawMessage(f[2])
 		}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -35,6 +35,7 @@
 	met                map[string]int // how often the meetings that a scenario is about came about
 	troubled           time.Time      // the last trouble is over by then
 	reports            lateness       // that share of reports arrives a second time, late
+	lossy              bool           // the state service has lost something
 	dirty              bool
 	violations         []string
 	broken             map[string]bool
@@ -443,6 +444,9 @@
 			}
 		}
 	case core.Note:
+		if o.Text == "the state service has lost data" && !n.lossy {
+			n.fail("misuse", "%s sees a loss of data where there was none: %v", n.name, o.Attrs)
+		}
 		if n.trace != nil {
 			n.trace(fmt.Sprintf("%8.3f %s %s %s %v", n.elapsed().Seconds(), n.name, o.Level, o.Text, o.Attrs))
 		}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -114,6 +114,9 @@
 	return ks
 }
 
+// Latest returns the keys of the spare records, the oldest first; not to be changed.
+func (c *Copy) Latest() []string { return c.order }
+
 // Digest tells sets of keys apart: two copies whose digests are equal have the same keys.
 type Digest struct {
 	Count int    `json:"c"`
