--- a/internal/scenario/cost_test.go
+++ b/internal/scenario/cost_test.go
@@ -125,6 +125,61 @@
 	t.Log("workers by node", by)
 }
 
+// TestLossCost measures, like TestCost, what follows when a fleet of -cost machines with 5,000
+// live jobs loses all data of its state service.
+func TestLossCost(t *testing.T) {
+	if *costOf == 0 {
+		t.Skip("asked for by -cost")
+	}
+	n, at := *costOf, 110*time.Second
+	s, err := read(fmt.Sprintf(`
+seed 12
+nodes 7
+workers report=5s lease=29s cancel=54s
+state rps=350 write_rps=80 value_kb=16 txn_ops=12
+cloud rps=12
+team t
+type s cpus=4 mem=16 rate=0.27 low=0.09 ready=10s fetch=0.25
+capacity s a n=0 spot=%d
+machines s a n=%d spot
+at 1s burst 5000 gap=18ms class=c tasks=8 run=120s every=10s save=2s
+at %v wipe rev
+at 100s burst 150 gap=200ms class=new tasks=1 run=5s
+run 200s
+`, n, n, at))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.trace = func(x string) {
+		if strings.Contains(x, "lost data") || strings.Contains(x, "rebuilding after") || strings.Contains(x, "leadership won") || strings.Contains(x, "whole again") || strings.Contains(x, "take-over complete") {
+			t.Log(x)
+		}
+	}
+	s.blind = true
+	s.begin()
+	puts, requests := 0, 0
+	for s.step(s.start.Add(s.end)) {
+		if s.elapsed() < at {
+			puts, requests = s.store.puts, s.store.requests
+		}
+	}
+	accepted, started, inTime, of := time.Hour, time.Hour, 0, 0
+	for _, j := range s.order {
+		since := j.since.Sub(s.start)
+		if j.spec.Class == "new" && j.first.Sub(s.start) > at {
+			of++
+			accepted = min(accepted, since-at)
+			if j.accepted && j.since.Sub(j.first) < 300*time.Millisecond {
+				inTime++
+			}
+			if !j.begun.IsZero() {
+				started = min(started, j.begun.Sub(s.start)-at)
+			}
+		}
+	}
+	t.Logf("%d machines: %v to the first submission accepted, %v to the first start of one, %d of %d accepted within 300 ms; in 90 s %d requests, %d changes", n, accepted, started, inTime, of, s.store.requests-requests, s.store.puts-puts)
+}
+
 func sum(m map[string]int) (n int) {
 	for _, x := range m {
 		n += x
--- a/internal/scenario/orders_test.go
+++ b/internal/scenario/orders_test.go
@@ -132,6 +132,16 @@
 		from: 5900 * time.Millisecond, events: []string{"crash leader back=3s"},
 		races: []string{"report", "reply"}, copies: []string{"report"}, passes: []time.Duration{600 * time.Millisecond, 5 * time.Second}, depth: 3, orders: 113,
 	},
+	{
+		name: "a loss and an acceptance", text: relayed + "run 120s\nexpect over\nexpect accepted wk-1\nexpect leaders =1",
+		from: 6 * time.Second, events: []string{"submit wk-1 run=3s", "wipe", "again wk-1"},
+		races: []string{"txn", "txn answer", "call"}, loses: []string{"txn answer"}, passes: []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond}, depth: 3, orders: 79,
+	},
+	{
+		name: "a loss and a change of leader", text: relayed + "at 4s submit wk-1 run=30s tasks=3\nat 5s submit wk-2 run=2s\nrun 150s\nexpect over\nexpect leaders =1",
+		from: 6500 * time.Millisecond, events: []string{"wipe", "crash leader back=2s", "cancel wk-1"},
+		races: []string{"txn", "peer"}, passes: []time.Duration{400 * time.Millisecond, 3 * time.Second}, depth: 3, orders: 205,
+	},
 	{
 		name: "a machine that does not hear", text: tiny + "team t\nat 5s submit wk-1 run=40s tasks=3\nat 8s outage cloud 60s\nrun 250s\nexpect over\nexpect leaders =1",
 		from: 9 * time.Second, events: []string{"machine_deaf 1 16s", "crash leader back=2s"},
@@ -449,6 +459,20 @@
 		{"start and a change of leader", "ran_twice", unrecorded},
 		{"start and a change of leader", "misuse", lower},
 		{"a machine that is back", "misuse", lower},
+		{"a loss and a change of leader", "forgotten", func() func(n *node, out any) any {
+			return func(n *node, out any) any { // copies lack jobs
+				if p, ok := out.(core.PeerSend); ok && p.Msg.Copy != nil {
+					line := *p.Msg.Copy
+					line.Puts = slices.DeleteFunc(slices.Clone(line.Puts), func(r snapshot.Record) bool {
+						_, job := r.Value.(*core.JobRecord)
+						return job
+					})
+					p.Msg.Copy = &line
+					return p
+				}
+				return out
+			}
+		}},
 		{"cancel and start", "ran_cancelled", func() func(n *node, out any) any {
 			return func(n *node, out any) any { // stops are forgotten
 				if a, ok := out.(core.AnswerReport); ok {
