Workers that lose a relay which the leader hears are left to find another

Cause: two report intervals were allowed, and up to 1.25 of them and 5 s pass until a worker whose relay does not answer reports elsewhere. Where more than two and a quarter of a node's workers are overdue together, they have what those of a quiet relay have.

--- a/internal/core/relays.go
+++ b/internal/core/relays.go
@@ -490,6 +490,22 @@
 	}
 }
 
+// overdueAfter is when a report is overdue: they come up to a quarter late, and have waited
+// for their replies before.
+func overdueAfter(report time.Duration) time.Duration { return report * 3 / 2 }
+
+// hearCutOff notes which relays have lost their workers while we hear them ourselves, by
+// how many of theirs are overdue. One machine of many is rather gone itself; a quarter of a
+// node's falling silent together have lost that node, and find out as those of a quiet
+// relay do.
+func (c *Core) hearCutOff(overdue map[*relayPeer]int) {
+	for p, n := range overdue {
+		if n > 2 && 4*n > p.workers {
+			p.quiet = c.now
+		}
+	}
+}
+
 // patience is how long the machine may be silent, given how long one may be.
 func (c *Core) patience(m *machine, silent time.Duration) time.Duration {
 	if m.home != nil && m.home.quiet.After(m.seen) {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -244,14 +244,19 @@
 	c.lookAtZones()
 	// When most machines fall silent at once, it is rather we who are cut off.
 	quiet, reporting := 0, 0
+	overdue := map[*relayPeer]int{}
 	for _, m := range l.fleet {
 		if m.reported && !m.away {
 			reporting++
+			if m.home != nil && c.now.Sub(m.seen) > overdueAfter(c.report) {
+				overdue[m.home]++
+			}
 			if c.now.Sub(c.heardLast(m)) > silent {
 				quiet++
 			}
 		}
 	}
+	c.hearCutOff(overdue)
 	takeover := silent
 	if 2*len(l.owed) < reporting {
 		takeover = secs(c.pol.TakeoverRelease(e))
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -640,7 +640,7 @@
 		for _, m := range some {
 			m.deaf = w.now.Add(span(f[2]))
 		}
-	case "cut": // cut WHO D hold|reset [only=HOSTS]: leader, peers (all nodes), state, user, names
+	case "cut": // cut WHO D hold|reset [only=HOSTS]: leader, peers (all nodes), workers, state, user, names
 		hosts, zone := map[string]bool{}, ""
 		if n := s.node(f[1]); n != nil {
 			hosts[n.name] = true
@@ -676,6 +676,11 @@
 				if n := s.node(h); n != nil {
 					only[n.name] = true
 				}
+				if h == "workers" {
+					for _, m := range w.cloud.machines {
+						only[m.host] = true
+					}
+				}
 				if h == "peers" {
 					for _, n := range w.nodes {
 						only[n.name] = true
