A job whose record was put right is served without a restart of the leader

Need: it was answered 503 for as long as its leader led. Each question looks at the record again; its stopped tasks are its own until they are gone.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -409,6 +409,18 @@
 	})
 }
 
+// leaderStoreElse is leaderStore where somebody must hear if this leadership ends meanwhile.
+func (c *Core) leaderStoreElse(call StoreCall, otherwise func(), f func(StoreReply)) {
+	l := c.lead
+	c.store(call, func(r StoreReply) {
+		if c.lead == l && c.acts() {
+			f(r)
+		} else {
+			otherwise()
+		}
+	})
+}
+
 func (c *Core) announce() {
 	for _, p := range c.cfg.Seeds {
 		if !c.lead.acked[p.HostName] {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -203,9 +203,7 @@
 		return
 	}
 	if l.unread[call.ID] {
-		// Its tasks were stopped, and some may run yet: whatever becomes of the
-		// record is for the next leader to take up.
-		c.answer(call, unavailable("the job's record cannot be read"))
+		c.reread(call)
 		return
 	}
 	if j := l.jobs[call.ID]; j != nil {
@@ -237,6 +235,68 @@
 	c.readBack(call, func() { c.answer(call, AnswerUser{Status: 404, Reason: "no such job"}) })
 }
 
+// reread looks again at the record of a job that could not be read: it may have been put
+// right, or dropped.
+func (c *Core) reread(call UserCall) {
+	l, id := c.lead, call.ID
+	no := func() { c.answer(call, unavailable("the job's record cannot be read")) }
+	if !c.reads.AllowN(c.now, 2) {
+		no()
+		return
+	}
+	c.leaderStoreElse(StoreCall{Op: StoreGet, Key: jobKeys + id}, no, func(r StoreReply) {
+		var rec *JobRecord
+		if r.Outcome == OK {
+			rec, _ = r.Entries[0].Value.(*JobRecord)
+		}
+		switch {
+		case !l.unread[id]: // somebody else's question has seen to it
+			c.serve(call)
+		case r.Outcome == Missing:
+			delete(l.unread, id)
+			c.serve(call)
+		case rec == nil || rec.Spec.ID != id:
+			no()
+		default:
+			c.leaderStoreElse(StoreCall{Op: StoreList, Key: doneKeys + id + "/", Limit: 400}, no, func(p StoreReply) {
+				if p.Outcome != OK || p.More {
+					no()
+					return
+				}
+				if l.unread[id] {
+					c.keep(r.Entries[0])
+					c.takeUp(rec, p.Entries)
+				}
+				c.serve(call)
+			})
+		}
+	})
+}
+
+// takeUp takes on a job whose record could not be read before. Its tasks were stopped; those
+// that may still be on machines are its own again until they are gone.
+func (c *Core) takeUp(rec *JobRecord, progress []Entry) {
+	l, id := c.lead, rec.Spec.ID
+	delete(l.unread, id)
+	c.note(slog.LevelInfo, "record can be read again", "key", jobKeys+id)
+	j := c.addJob(rec, true)
+	for _, e := range progress {
+		c.keep(e)
+		c.loadEntry(e)
+	}
+	for _, m := range l.fleet {
+		for _, r := range m.runs {
+			if r.stray && r.id.Job == id {
+				c.vacate(r)
+				if r.id.Index < j.spec.Tasks && j.runs[r.id.Index] == nil {
+					c.occupy(r, j)
+				}
+			}
+		}
+	}
+	c.jobLoaded(j)
+}
+
 // readBack answers from the records, or calls missing for a job that has none.
 // A record that memory does not have is an acceptance whose write came through
 // after it had been given up: the job is taken on.
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -738,8 +738,13 @@
 	case "damage": // damage PREFIX VALUE: what the first key below the prefix holds
 		w.lossy = true
 		for _, k := range w.store.sorted(f[1])[:1] {
-			w.store.keys[k].value = json.RawMessage(f[2])
+			e := w.store.keys[k]
+			was := e.value
+			e.value = json.RawMessage(f[2])
+			w.repair = func() { e.value = was }
 		}
+	case "repair": // what was damaged last is put right
+		w.repair()
 	case "wander": // wander NODE D: its time of day goes D wrong
 		if n := s.node(f[1]); n != nil {
 			n.wander = span(f[2])
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -35,6 +35,7 @@
 	met                map[string]int // how often the meetings that a scenario is about came about
 	troubled           time.Time      // the last trouble is over by then
 	reports            lateness       // that share of reports arrives a second time, late
+	repair             func()         // puts right what was damaged last
 	lossy              bool           // the state service has lost something
 	dirty              bool
 	violations         []string
