--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,6 +83,7 @@
 	reads        *rate.Limiter
 	stateUp      bool
 	served       time.Time // when the state service last served us
+	late         int64     // reports that were older than what was known
 
 	report, lease time.Duration
 	times         lapse.Times
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -188,6 +188,7 @@
 		return
 	case l.gone.has(rep.Host):
 		// Released and proven gone: whatever arrives now was sent before.
+		c.late++
 		refuse()
 		return
 	case !l.loaded:
@@ -215,6 +216,7 @@
 	forgets := m.reported && rep.Epoch < m.epoch
 	if !again && m.reported && !rep.Newer(m.tenure, m.counter) || rep.Tenure <= m.dead || forgets {
 		// Delayed on the way: its task list is older than what we know.
+		c.late++
 		refuse()
 		return
 	}
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -172,3 +172,46 @@
 		t.Errorf("turns: aimless idle %v, aimless %v, late %v", guest.turn.Sub(t0), dear.turn.Sub(t0), late.turn.Sub(t0))
 	}
 }
+
+// TestRebookLimit: looking again at what is booked takes a bounded part of the processor
+// share, whatever the fleet and the queue, and one job has its turn every while only.
+func TestRebookLimit(t *testing.T) {
+	for machines, want := range map[int]int{100: rebookMost, 700: 14, 1300: 7, 2600: 3, 20000: 2} {
+		c := leaderOf(t, 1)
+		c.cfg.Settings.Limits.CPUShare = 0.168
+		c.lead.fleet = make([]*machine, machines)
+		if n := c.rebookLimit(); n != want {
+			t.Errorf("%d machines: %d jobs at a time, not %d", machines, n, want)
+		}
+	}
+	c := leaderOf(t, 4)
+	rng := testRand()
+	for i := range 40 {
+		j := newJob(c, i, 50, rng)
+		c.book(j)
+	}
+	c.now = c.now.Add(time.Hour) // all is due
+	looked := func() (n int) {
+		for _, j := range c.lead.jobs {
+			if j.rebooked.Equal(c.now) {
+				n++
+			}
+		}
+		return n
+	}
+	c.rebook(10)
+	if n := looked(); n != 10 {
+		t.Fatalf("%d jobs are looked at", n)
+	}
+	first := map[*job]bool{}
+	for _, j := range c.lead.jobs {
+		first[j] = j.rebooked.Equal(c.now)
+	}
+	c.now = c.now.Add(tickEvery)
+	c.rebook(10)
+	for j, was := range first {
+		if was && j.rebooked.Equal(c.now) {
+			t.Errorf("job %s is looked at again at once", j.spec.ID)
+		}
+	}
+}
--- a/internal/core/relays.go
+++ b/internal/core/relays.go
@@ -82,6 +82,7 @@
 	}
 	if p := r.byHost[rep.Host]; p != nil {
 		if !rep.Newer(p.report.Tenure, p.report.Counter) {
+			c.late++
 			c.emit(AnswerReport{Ref: in.Ref, Status: 503}) // delayed on the way
 			return
 		}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -15,13 +15,14 @@
 	Copies                  int  // controllers that have a whole copy of the records, this one aside
 	Full                    bool // no more machines are rented: the controllers could not serve them
 
+	Late                                                int64 // reports that were older than what was known, and taught nothing
 	Schedules                                           int   // read by this leader
 	OccurrencesMade, OccurrencesMissed, OccurrencesLate int64 // by this leader
 }
 
 // Stats returns the figures of now.
 func (c *Core) Stats() Stats {
-	s := Stats{Term: c.termMax, Passed: len(c.relay.known)}
+	s := Stats{Term: c.termMax, Passed: len(c.relay.known), Late: c.late}
 	l := c.lead
 	if l == nil {
 		return s
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,6 +38,7 @@
 		"yewpass_relays":               func(s *core.Stats) float64 { return float64(s.Relays) },
 		"yewpass_zones_away":           func(s *core.Stats) float64 { return float64(s.ZonesAway) },
 		"yewpass_machines_away":        func(s *core.Stats) float64 { return float64(s.MachinesAway) },
+		"yewpass_reports_late_total":   func(s *core.Stats) float64 { return float64(s.Late) },
 		"yewpass_records_to_restore":   func(s *core.Stats) float64 { return float64(s.RecordsLeft) },
 		"yewpass_jobs_unreadable":      func(s *core.Stats) float64 { return float64(s.Unreadable) },
 		"yewpass_copies":               func(s *core.Stats) float64 { return float64(s.Copies) },
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -290,6 +290,12 @@
 		return s.broken[e[1]]
 	case "running", "on": // number of tasks of a job on machines, or of machines in use
 		return compare(s.tasksOn(e[1]), e[2])
+	case "late-refused": // reports that were told to be older than what is known
+		n := 0
+		for _, x := range s.nodes {
+			n += int(x.core.Stats().Late)
+		}
+		return compare(n, e[1])
 	case "met": // met WORD N: how often a meeting came about
 		return compare(s.met[e[1]], e[2])
 	case "largest": // seconds until the last of each class's largest jobs has begun
