A record that cannot be taken in stays set aside; orders counted anew

reread took a job up past the guard that a take-over has: a poisoned record would have ended the process when its user asked (TestPoisonedRecord, which now has the answer come after the record was looked at again, and still asks for 503).

--- a/internal/core/edges_test.go
+++ b/internal/core/edges_test.go
@@ -318,11 +318,26 @@
 	if l.jobs["wk-1"] != nil || !l.unread["wk-1"] || l.jobs["wk-2"] == nil {
 		t.Errorf("%v %v", l.jobs, l.unread)
 	}
-	c.out = c.out[:0]
-	c.serve(UserCall{Ref: 5, Op: OpGet, ID: "wk-1"})
-	if a, ok := c.out[0].(AnswerUser); !ok || a.Status != 503 {
-		t.Errorf("%+v", c.out)
+	// Whoever asks has it looked at again, and it is as it was.
+	outs := slices.Clone(c.Step(c.now.Add(time.Second), UserCall{Ref: 5, Op: OpGet, ID: "wk-1"}))
+	for i := 0; i < len(outs); i++ {
+		switch o := outs[i].(type) {
+		case StoreCall:
+			r := StoreReply{Ref: o.Ref, Outcome: OK, Rev: 9}
+			if o.Key == jobKeys+"wk-1" {
+				r.Entries = []Entry{{Key: o.Key, Value: bad, Rev: 3}}
+			}
+			if o.Key == jobKeys+"wk-1" || o.Key == doneKeys+"wk-1/" {
+				outs = append(outs, slices.Clone(c.Step(c.now, r))...)
+			}
+		case AnswerUser:
+			if o.Status != 503 || !l.unread["wk-1"] || l.jobs["wk-1"] != nil {
+				t.Errorf("%+v", o)
+			}
+			return
+		}
 	}
+	t.Errorf("no answer: %+v", outs)
 }
 
 // TestReportsCarryNoProof is expected to fail, see the hardening review: whoever can
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"yewpass/internal/policy"
@@ -263,9 +264,9 @@
 					no()
 					return
 				}
-				if l.unread[id] {
-					c.keep(r.Entries[0])
-					c.takeUp(rec, p.Entries)
+				if l.unread[id] && !c.takeUp(r.Entries[0], p.Entries) {
+					no()
+					return
 				}
 				c.serve(call)
 			})
@@ -274,12 +275,18 @@
 }
 
 // takeUp takes on a job whose record could not be read before. Its tasks were stopped; those
-// that may still be on machines are its own again until they are gone.
-func (c *Core) takeUp(rec *JobRecord, progress []Entry) {
-	l, id := c.lead, rec.Spec.ID
+// that may still be on machines are its own again until they are gone. A record that a fault
+// of ours cannot take in stays set aside, as at a take-over.
+func (c *Core) takeUp(rec Entry, progress []Entry) bool {
+	l, id := c.lead, strings.TrimPrefix(rec.Key, jobKeys)
 	delete(l.unread, id)
-	c.note(slog.LevelInfo, "record can be read again", "key", jobKeys+id)
-	j := c.addJob(rec, true)
+	c.loadEntry(rec)
+	j := l.jobs[id]
+	if j == nil {
+		return false
+	}
+	c.note(slog.LevelInfo, "record can be read again", "key", rec.Key)
+	c.keep(rec)
 	for _, e := range progress {
 		c.keep(e)
 		c.loadEntry(e)
@@ -295,6 +302,7 @@
 		}
 	}
 	c.jobLoaded(j)
+	return true
 }
 
 // readBack answers from the records, or calls missing for a job that has none.
