--- a/internal/core/rebuild.go
+++ b/internal/core/rebuild.go
@@ -308,6 +308,16 @@
 		own.Inherit(k)
 		c.rememberEnds(k)
 		l.endsFrom = ""
+		// Nor does what it has of schedules show that none is lost: they lie apart.
+		for _, key := range k.Keys(rootKey + "schedule") {
+			if _, ok := own.Get(key); !ok {
+				r, _ := k.Get(key)
+				own.Put(key, r.Value, 0)
+			}
+		}
+		if l.sched.loaded {
+			c.missingSchedules()
+		}
 	}
 }
 
@@ -882,21 +892,36 @@
 			return false
 		}
 		ch.writes[0].Value = now.Value
+		if strings.HasPrefix(r.Key, scheduleKeys) {
+			ch.when = []Cond{{r.Key, r.Rev}, {numberKey, l.sched.numberRev}} // see newSchedule
+		}
 		return true
 	}
-	ch.done = func(uint64) { over() }
+	ch.done = func(rev uint64) {
+		if r.Key == numberKey {
+			l.sched.numberRev = rev
+		}
+		over()
+	}
 	ch.failed = func() { // there is one by now, written after the loss or late, or older
 		if !ofSchedules(r.Key) {
 			over()
 			return
 		}
 		c.readBackKey(r.Key, func(e Entry, found bool) {
-			if _, differ := join(e.Value, r.Value, true); !found || differ {
-				r.Rev = e.Rev
+			if _, differ := join(e.Value, r.Value, true); found && !differ {
+				over()
+				return
+			}
+			r.Rev = e.Rev
+			if r.Key == numberKey {
 				c.restoreOne(r)
 				return
 			}
-			over()
+			c.readBackKey(numberKey, func(n Entry, _ bool) {
+				l.sched.numberRev = n.Rev
+				c.restoreOne(r)
+			})
 		})
 	}
 	ch.rejected = over
@@ -918,25 +943,37 @@
 }
 
 // missingSchedules has schedules written back that the copy we have gone by has, and the
-// service has not.
+// service has not; first the numbers' record, if that is lost as well.
 func (c *Core) missingSchedules() {
 	own := c.ownCopy()
 	if own == nil {
 		return
 	}
+	var keys []string
 	for _, key := range own.Keys(scheduleKeys) {
 		r, _ := own.Get(key)
-		rec, _ := r.Value.(*schedule.Record)
-		if r.Rev != 0 || rec == nil || c.lead.sched.byName[strings.TrimPrefix(key, scheduleKeys)] != nil {
-			continue
+		if rec, _ := r.Value.(*schedule.Record); r.Rev == 0 && rec != nil && c.lead.sched.byName[strings.TrimPrefix(key, scheduleKeys)] == nil {
+			keys = append(keys, key)
 		}
-		c.note(slog.LevelError, "a schedule is missing that a copy has, it is written back", "key", key)
-		c.readBackKey(numberKey, func(e Entry, _ bool) {
-			c.lead.sched.numberRev = e.Rev
-			c.lead.pipe.add(&change{size: rec.Size(), when: c.newSchedule(key), writes: []Write{{Key: key, Value: rec}},
-				done: func(rev uint64) { c.loadSchedule(Entry{Key: key, Value: rec, Rev: rev}) }})
-		})
 	}
+	if len(keys) == 0 {
+		return
+	}
+	again := func() { c.whenLeading(copyEvery, c.missingSchedules) }
+	c.readBackKey(numberKey, func(e Entry, found bool) {
+		if n, ok := own.Get(numberKey); ok && !found {
+			c.lead.pipe.add(&change{when: []Cond{{numberKey, 0}}, writes: []Write{{Key: numberKey, Value: n.Value}}, done: func(uint64) { again() }, failed: again})
+			return
+		}
+		c.lead.sched.numberRev = e.Rev
+		for _, key := range keys {
+			r, _ := own.Get(key)
+			rec, _ := r.Value.(*schedule.Record)
+			c.note(slog.LevelError, "a schedule is missing that a copy has, it is written back", "key", key)
+			c.lead.pipe.add(&change{size: rec.Size(), when: c.newSchedule(key), writes: []Write{{Key: key, Value: rec}},
+				done: func(rev uint64) { c.loadSchedule(Entry{Key: key, Value: rec, Rev: rev}) }, failed: again})
+		}
+	})
 }
 
 // unsure reports whether a job that nobody knows may be one that was lost.
