--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -505,7 +505,11 @@
 // rebookLimit is how many jobs are looked at again in one look of the leader's: each asks
 // every machine.
 func (c *Core) rebookLimit() int {
-	visits := c.cfg.Settings.Limits.CPUShare * rebookVisits * tickEvery.Seconds()
+	share := c.cfg.Settings.Limits.CPUShare
+	if share <= 0 {
+		share = 1 // no limit
+	}
+	visits := share * rebookVisits * tickEvery.Seconds()
 	return min(rebookMost, max(2, int(visits)/max(1, len(c.lead.fleet))))
 }
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -212,7 +212,7 @@
 			c.cancel(j, call)
 			return
 		}
-		if !c.ends(j, call) {
+		if j.cancelled || !c.ends(j, call) {
 			c.answer(call, AnswerUser{Status: 200, View: j.view(), Reason: c.waitsFor(j)})
 		}
 		return
