--- /dev/null
+++ b/internal/scenario/history_test.go
@@ -0,0 +1,154 @@
+package scenario
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"yewpass/internal/core"
+)
+
+// All users' calls on a job are a history of invocations and responses, whichever node took
+// them. It must be linearizable: there is one order of the calls, each somewhere between its
+// invocation and its response, in which every answer is the state of a single job. A call
+// without a certain answer may have happened or not.
+
+// The states of a job in the order that PROTOCOL gives them. Queued and running are one: an
+// answer may call a running job queued.
+const (
+	jobUnknown = iota
+	jobAccepted
+	jobDone
+	jobCancelled
+)
+
+// stateOf is the state that an answer tells, or -1 when it tells none.
+func stateOf(x call) int {
+	switch {
+	case x.status == 404 || x.op == core.OpSubmit && (x.status == 400 || x.status == 422):
+		return jobUnknown
+	case x.status != 200 && x.status != 201:
+		return -1
+	case x.state == core.Done:
+		return jobDone
+	case x.state == core.Cancelled:
+		return jobCancelled
+	}
+	return jobAccepted
+}
+
+// jobModel is one job, as it is specified.
+var jobModel = (&porcupine.NondeterministicModel{
+	Init: func() []interface{} { return []interface{}{jobUnknown} },
+	Step: func(state, input, output interface{}) []interface{} {
+		was, x, told := state.(int), input.(call), output.(int)
+		next := []interface{}{}
+		can := func(s int) {
+			if told < 0 || told == s {
+				next = append(next, s)
+			}
+		}
+		switch {
+		case x.op == core.OpSubmit && was == jobUnknown && told != jobUnknown:
+			can(jobAccepted)
+		case x.op == core.OpCancel && was == jobAccepted:
+			can(jobCancelled)
+		case x.op == "" && was == jobAccepted:
+			can(jobDone)
+		default:
+			can(was)
+			return next
+		}
+		if told < 0 {
+			next = append(next, was) // it may not have happened
+		}
+		return next
+	},
+	DescribeOperation: func(input, output interface{}) string { return fmt.Sprint(input, output) },
+}).ToModel()
+
+// linear returns what is wrong with a job's history, or "".
+func linear(id string, calls []call) string {
+	var ops []porcupine.Operation
+	unsure := map[core.UserOp]bool{}
+	calls = slices.Clone(calls)
+	slices.SortStableFunc(calls, func(a, b call) int { return a.invoked.Compare(b.invoked) })
+	for _, x := range calls {
+		told := stateOf(x)
+		end := x.ended.UnixNano()
+		if told < 0 {
+			// Of those that may have happened at any time from then on the first says it all.
+			if x.op == core.OpGet || unsure[x.op] {
+				continue
+			}
+			unsure[x.op] = true
+			end = math.MaxInt64
+		}
+		ops = append(ops, porcupine.Operation{Input: x, Call: x.invoked.UnixNano(), Output: told, Return: end})
+	}
+	if res := porcupine.CheckOperationsTimeout(jobModel, ops, 20*time.Second); res == porcupine.Ok {
+		return ""
+	}
+	var sb strings.Builder
+	fmt.Fprintf(&sb, "the answers about %s are in no order that a single job could have given", id)
+	for _, x := range calls {
+		end := "never"
+		if !x.ended.IsZero() {
+			end = fmt.Sprintf("%.4f", x.ended.Sub(newClock(0).start).Seconds())
+		}
+		fmt.Fprintf(&sb, "\n\t%.4f to %s %s: %d %s", x.invoked.Sub(newClock(0).start).Seconds(), end, cmp.Or(string(x.op), "end of the last task"), x.status, x.state)
+	}
+	return sb.String()
+}
+
+// notLinear returns what is wrong with the histories of a play.
+func notLinear(res Result) (wrong []string) {
+	for _, id := range slices.Sorted(maps.Keys(res.History)) {
+		if why := linear(id, res.History[id]); why != "" {
+			wrong = append(wrong, why)
+		}
+	}
+	return wrong
+}
+
+// TestLinear: the checker tells good histories from bad ones.
+func TestLinear(t *testing.T) {
+	at := func(ms int) time.Time { return newClock(0).start.Add(time.Duration(ms) * time.Millisecond) }
+	x := func(op core.UserOp, from, to, status int, s core.JobState) call {
+		c := call{op: op, invoked: at(from), status: status, state: s}
+		if to > 0 {
+			c.ended = at(to)
+		}
+		return c
+	}
+	const submit, get, cancel = core.OpSubmit, core.OpGet, core.OpCancel
+	for name, h := range map[string]struct {
+		good  bool
+		calls []call
+	}{
+		"in order":                       {true, []call{x(get, 0, 1, 404, ""), x(submit, 2, 5, 201, core.Queued), x("", 6, 0, 0, ""), x(get, 7, 8, 200, core.Running), x(get, 9, 10, 200, core.Done)}},
+		"overlapping":                    {true, []call{x(submit, 0, 9, 201, core.Queued), x(get, 1, 8, 404, ""), x(get, 2, 7, 200, core.Queued)}},
+		"404 after an acceptance":        {false, []call{x(submit, 0, 2, 201, core.Queued), x(get, 3, 4, 404, "")}},
+		"404 after another poll":         {false, []call{x(submit, 0, 9, 201, core.Queued), x(get, 1, 2, 200, core.Queued), x(get, 3, 4, 404, "")}},
+		"accepted without an answer":     {true, []call{x(submit, 0, 0, 0, ""), x(get, 8, 9, 200, core.Queued)}},
+		"queued after done":              {false, []call{x(submit, 0, 2, 201, core.Queued), x("", 3, 0, 0, ""), x(get, 4, 5, 200, core.Done), x(get, 6, 7, 200, core.Queued)}},
+		"running after cancelled":        {false, []call{x(submit, 0, 2, 201, core.Queued), x(cancel, 3, 6, 200, core.Cancelled), x(get, 7, 8, 200, core.Running)}},
+		"running after a repeat says so": {false, []call{x(submit, 0, 2, 201, core.Queued), x(cancel, 3, 0, 503, ""), x(submit, 4, 5, 200, core.Cancelled), x(get, 7, 8, 200, core.Running)}},
+		"cancelled without an answer":    {true, []call{x(submit, 0, 2, 201, core.Queued), x(cancel, 3, 0, 503, ""), x(get, 5, 6, 200, core.Running), x(get, 7, 8, 200, core.Cancelled)}},
+		"done after cancelled":           {false, []call{x(submit, 0, 2, 201, core.Queued), x("", 2, 0, 0, ""), x(cancel, 3, 4, 200, core.Cancelled), x(get, 5, 6, 200, core.Done)}},
+		"cancelled by nobody":            {false, []call{x(submit, 0, 2, 201, core.Queued), x(get, 5, 6, 200, core.Cancelled)}},
+		"refused after an acceptance":    {false, []call{x(submit, 0, 2, 201, core.Queued), x(submit, 3, 4, 422, "")}},
+		"known to nobody":                {false, []call{x(get, 5, 6, 200, core.Queued)}},
+	} {
+		if got := linear("wk-1", h.calls) == ""; got != h.good {
+			t.Errorf("%s: %v, want %v", name, got, h.good)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/looks.go
@@ -0,0 +1,321 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"time"
+
+	"yewpass/internal/core"
+	"yewpass/internal/spec"
+)
+
+// What users do besides the ordinary, as the operators' bench names it: they look closely,
+// call off just now or just at the end, and ask for what cannot be.
+
+// call is a user's call on a job: an operation of the job's history.
+type call struct {
+	op             core.UserOp // OpSubmit, OpGet, OpCancel; "" is the end of its last task
+	invoked, ended time.Time   // ended is zero while there is no answer
+	status         int         // 0: none, it may have happened or not
+	state          core.JobState
+}
+
+// recordCall notes a call and returns what notes its answer.
+func (w *world) recordCall(u core.UserCall) func(status int, a core.AnswerUser) {
+	if w.blind || u.Schedule != nil || u.Op != core.OpSubmit && u.Op != core.OpGet && u.Op != core.OpCancel {
+		return func(int, core.AnswerUser) {}
+	}
+	id := u.ID
+	w.history[id] = append(w.history[id], call{op: u.Op, invoked: w.now})
+	i := len(w.history[id]) - 1
+	return func(status int, a core.AnswerUser) {
+		x := &w.history[id][i]
+		x.ended, x.status, x.state = w.now, status, a.View.State
+	}
+}
+
+// ended: the last task of a job has just completed.
+func (w *world) ended(j *userJob) {
+	if !w.blind {
+		w.history[j.spec.ID] = append(w.history[j.spec.ID], call{invoked: w.now})
+	}
+	if j.accepted && !j.wants && w.atEnd.hits(w.clock) {
+		w.after([]time.Duration{0, time.Millisecond, 20 * time.Millisecond, 200 * time.Millisecond, time.Second}[w.rng.IntN(5)], func() {
+			w.met["cancel-at-end"]++
+			w.cancel(j)
+		})
+	}
+	w.look(j, true)
+}
+
+// lookTimes is when users look again.
+var lookTimes = []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond}
+
+// look has a job's user ask every node at once and again within milliseconds, and repeat
+// the submission; some also call the job off. During, as close_looks has it: only while that lasts.
+func (w *world) look(j *userJob, during bool) {
+	if during && !w.now.Before(w.looks) || w.blind || len(w.nodes) == 0 || w.nodes[0].process != nil {
+		return
+	}
+	w.met["look"]++
+	for _, d := range lookTimes {
+		for _, n := range w.nodes {
+			w.after(d, func() {
+				if n.alive {
+					w.ask(n, j, core.OpGet, 2*time.Second, w.polled(j))
+				}
+			})
+		}
+		w.after(d, func() {
+			w.ask(w.pickNode(), j, core.OpSubmit, 5*time.Second, func(status int, a core.AnswerUser) { w.repeated(j, status, a) })
+		})
+	}
+	if during && !j.wants && w.rng.IntN(8) == 0 {
+		w.after(lookTimes[w.rng.IntN(len(lookTimes))], func() {
+			w.met["look-cancel"]++
+			w.cancel(j)
+		})
+	}
+}
+
+// ask is request at one node.
+func (w *world) ask(n *node, j *userJob, op core.UserOp, timeout time.Duration, f func(status int, a core.AnswerUser)) {
+	u := core.UserCall{Op: op, ID: j.spec.ID}
+	if op == core.OpSubmit {
+		s := j.spec
+		u.Spec = &s
+	}
+	w.callAt(n, u, timeout, f)
+}
+
+// repeated takes the answer to a repeated submission of an accepted job.
+func (w *world) repeated(j *userJob, status int, a core.AnswerUser) {
+	switch status {
+	case 200, 201:
+		w.hear(j, a.View)
+	case 400, 404, 422, 429:
+		if j.accepted && w.given.After(j.since) {
+			w.fail("forgotten", "repeated submission of %s gets %d", j.spec.ID, status)
+		}
+	}
+}
+
+// hungMost is on how many machines a cancel_now falls that hang.
+const hungMost = 8
+
+// cancelNow has users call off the jobs that run and have the longest to go, within a fifth
+// of a second; up to eight of their machines hang.
+func (w *world) cancelNow(n int, hang time.Duration) {
+	left := func(j *userJob) (d time.Duration) {
+		for _, m := range w.cloud.machines {
+			for _, t := range m.tasks {
+				if t.job == j && t.on() {
+					if j.spec.Service {
+						return math.MaxInt64
+					}
+					d = max(d, j.runs-j.progress[t.id.Index]-w.now.Sub(t.began))
+				}
+			}
+		}
+		return d
+	}
+	var js []*userJob
+	for _, j := range w.order {
+		if j.accepted && !j.wants && j.told == "" && left(j) > 0 {
+			js = append(js, j)
+		}
+	}
+	slices.SortStableFunc(js, func(a, b *userJob) int { return int(max(-1, min(1, left(b)-left(a)))) })
+	js = js[:min(n, len(js))]
+	hung := 0
+	for _, j := range js {
+		w.met["cancel-now"]++
+		w.after(time.Duration(w.rng.IntN(200))*time.Millisecond, func() { w.cancel(j) })
+		for _, m := range w.cloud.machines {
+			on := slices.ContainsFunc(m.tasks, func(t *task) bool { return t.job == j && t.on() })
+			if hang > 0 && on && !w.now.Before(m.hung) && hung < hungMost {
+				hung++
+				w.met["cancel-now-hung"]++
+				m.hung = w.now.Add(hang)
+			}
+		}
+	}
+}
+
+// odd has users make requests that are none of the ordinary, four a second.
+func (w *world) odd(end time.Time) {
+	if !w.now.Before(end) {
+		return
+	}
+	w.after(250*time.Millisecond, func() { w.odd(end) })
+	var going, over []*userJob
+	for _, j := range w.order {
+		switch {
+		case j.accepted && j.told == "":
+			going = append(going, j)
+		case j.told != "":
+			over = append(over, j)
+		}
+	}
+	w.met["odd"]++
+	switch k := w.rng.IntN(4); {
+	case k == 0 && len(going) > 0:
+		j := going[w.rng.IntN(len(going))]
+		w.ask(w.pickNode(), j, core.OpSubmit, 5*time.Second, func(status int, a core.AnswerUser) { w.repeated(j, status, a) })
+	case k == 1 && len(over) > 0:
+		j := over[w.rng.IntN(len(over))]
+		w.ask(w.pickNode(), j, core.OpCancel, 5*time.Second, func(status int, a core.AnswerUser) {
+			switch status {
+			case 200:
+				w.hear(j, a.View)
+			case 404:
+				w.fail("forgotten", "cancellation of %s, which is over, gets 404", j.spec.ID)
+			}
+		})
+	case k == 2:
+		w.unfit()
+	default:
+		w.lacking()
+	}
+}
+
+// unfit submits a job that can never run.
+func (w *world) unfit() {
+	w.oddID++
+	s := core.JobSpec{ID: fmt.Sprintf("wk-8%07d", w.oddID), Class: "c", Owner: w.cfg.Settings.Teams[0].Name, Tasks: 1, CPUs: 1, MemGB: 1, Image: "img", Reclaimable: true}
+	switch w.rng.IntN(4) {
+	case 0:
+		s.CPUs = 1e5
+	case 1:
+		s.Owner = "nobody"
+	case 2:
+		s.Zone = "elsewhere"
+	default:
+		s.Flavors = []string{"none"}
+	}
+	w.call(core.UserCall{Op: core.OpSubmit, ID: s.ID, Spec: &s}, 5*time.Second, func(status int, a core.AnswerUser) {
+		switch status {
+		case 200, 201:
+			w.fail("unfit", "%s is accepted though it can never run", s.ID)
+		case 422:
+			w.met["odd-unfit"]++
+		}
+	})
+}
+
+// lacking submits a job without one of the fields that it must have, as its JSON is read.
+func (w *world) lacking() {
+	w.oddID++
+	id, text, zero, shards, no := fmt.Sprintf("wk-8%07d", w.oddID), "x", 1.0, 1, false
+	shape, urgency := "array", "standard"
+	sub := spec.Submission{ID: &id, JobClass: &text, Owner: &text, Shape: &shape, Urgency: &urgency, Shards: &shards, VCPUs: &zero, GPUs: &zero, MemGB: &zero,
+		Bundle: &text, SizeGB: &zero, SamePlace: &no, Apart: &no, Reclaimable: &no, RuntimeS: &zero, SnapshotEveryS: &zero, SnapshotS: &zero}
+	v := reflect.ValueOf(&sub).Elem()
+	var there []int
+	for i := range v.NumField() {
+		if !v.Field(i).IsNil() {
+			there = append(there, i)
+		}
+	}
+	i := there[w.rng.IntN(len(there))]
+	v.Field(i).SetZero()
+	job, field, _ := sub.Job()
+	if w.careless != nil {
+		job = w.careless(job)
+	}
+	if job != nil || field == "" {
+		w.fail("unfit", "a job without %s is taken", v.Type().Field(i).Name)
+		return
+	}
+	w.met["odd-lacks"]++
+}
+
+// waitsMost is for how long a job may wait once the troubles are over.
+const waitsMost = 90 * time.Second
+
+// roomLeast is how long a machine must have room for it to count.
+const roomLeast = 10 * time.Second
+
+// checkWaiting holds what the operators ask for once the troubles are over: no job waits for
+// long while a machine that fits has room and its team is under its limit.
+func (w *world) checkWaiting() {
+	if w.blind || !w.now.After(w.troubled) {
+		return
+	}
+	for _, j := range w.order {
+		m := (*worker)(nil)
+		if j.accepted && !j.wants && j.told == "" && !j.faulty && !j.spec.Service {
+			m = w.hasRoom(j)
+		}
+		switch {
+		case m == nil:
+			j.waits, j.roomOn = time.Time{}, nil
+		case m != j.roomOn:
+			if j.roomOn == nil || w.now.Sub(j.roomFrom) < roomLeast {
+				j.waits = w.now // between one task and the next: no room to speak of
+			}
+			j.roomOn, j.roomFrom = m, w.now
+		case w.now.Sub(j.waits) > waitsMost:
+			w.fail("waits", "%s waits for 90 s while %s has room", j.spec.ID, m.host)
+		}
+	}
+}
+
+// hasRoom returns a machine on which a waiting task of the job could run now, or nil.
+func (w *world) hasRoom(j *userJob) *worker {
+	s := &j.spec
+	there := map[int]bool{}
+	zones := map[string]int{}
+	cpus, gpus := 0.0, 0.0
+	for _, m := range w.cloud.machines {
+		for _, t := range m.tasks {
+			if t.job == nil || t.phase == core.Exited {
+				continue
+			}
+			if t.job == j {
+				there[t.id.Index] = true
+				zones[m.zone]++
+			}
+			if t.job.spec.Owner == s.Owner {
+				cpus, gpus = cpus+t.job.spec.CPUs, gpus+t.job.spec.GPUs
+			}
+		}
+	}
+	waits := false
+	for i := range s.Tasks {
+		waits = waits || !j.done[i] && !there[i]
+	}
+	if !waits {
+		return nil
+	}
+	for _, t := range w.cfg.Settings.Teams {
+		if t.Name == s.Owner && (t.CPUsMax > 0 && cpus+s.CPUs > t.CPUsMax || t.GPUsMax > 0 && gpus+s.GPUs > t.GPUsMax) {
+			return nil
+		}
+	}
+	fits := func(m *worker) bool {
+		if !m.gone.IsZero() || m.up.IsZero() || !m.served || m.sick || !m.leaves.IsZero() || w.now.Before(m.hung) || w.now.Before(m.deaf) || w.now.Before(m.mute) ||
+			len(s.Flavors) > 0 && !slices.Contains(s.Flavors, m.flavor.name) || s.Zone != "" && s.Zone != m.zone || m.reclaimable && !s.Reclaimable {
+			return false
+		}
+		if s.SamePlace && len(zones) > 0 && zones[m.zone] == 0 || s.Apart && zones[m.zone] >= (s.Tasks+1)/2 {
+			return false
+		}
+		have := [3]float64{m.flavor.cpus, m.flavor.gpus, m.flavor.mem}
+		for _, t := range m.tasks {
+			if t.job != nil && t.phase != core.Exited {
+				have = [3]float64{have[0] - t.job.spec.CPUs, have[1] - t.job.spec.GPUs, have[2] - t.job.spec.MemGB}
+			}
+		}
+		return s.CPUs <= have[0] && s.GPUs <= have[1] && s.MemGB <= have[2]
+	}
+	if j.roomOn != nil && fits(j.roomOn) {
+		return j.roomOn // the same as before
+	}
+	if i := slices.IndexFunc(w.cloud.machines, fits); i >= 0 {
+		return w.cloud.machines[i]
+	}
+	return nil
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -32,6 +32,9 @@
 	for _, e := range res.Unmet {
 		t.Errorf("expected %s", e)
 	}
+	for _, why := range notLinear(res) {
+		t.Error(why)
+	}
 	t.Logf("%d tasks started, %d requests to the state service, met %v", res.Started, res.Requests, res.Met)
 	return res
 }
--- a/internal/scenario/schedules.go
+++ b/internal/scenario/schedules.go
@@ -143,6 +143,7 @@
 		}
 		j := c.s.job(id, c.args)
 		j.first = w.now
+		w.history[id] = append(w.history[id], call{op: core.OpSubmit, invoked: w.start}) // the leader's own, at a time that no user sees
 		w.jobs[id] = j
 		w.order = append(w.order, j)
 		return j
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -28,6 +28,8 @@
 	slow   time.Time            // until then answers come late
 	slowBy time.Duration
 	met    map[string]int // see world
+	// Keys that a node has changed without hearing of it, until it may know.
+	unheard map[string]unheard
 
 	rps, writeRPS  float64
 	valueKB        float64
@@ -48,8 +50,10 @@
 
 // lateness is a share of messages that are delayed, until a time.
 type lateness struct {
-	until time.Time
-	share float64
+	until  time.Time
+	share  float64
+	atOnce bool // of transactions: they are carried out at once, and only the answer is lost
+	next   bool // of reports: the copy is kept until the next leader begins
 }
 
 // hits reports whether this one is delayed.
@@ -57,6 +61,22 @@
 	return c.now.Before(l.until) && c.rng.Float64() < l.share
 }
 
+// unheard is a change whose writer has not been answered.
+type unheard struct {
+	writer string
+	at     time.Time
+}
+
+// unheardFor is for how long a writer does not know: core gives a call up after that.
+const unheardFor = 1500 * time.Millisecond
+
+// readMeanwhile counts reads of what another node has written and does not know of yet.
+func (s *store) readMeanwhile(node, key string) {
+	if u, ok := s.unheard[key]; ok && u.writer != node && s.now.Sub(u.at) < unheardFor {
+		s.met["read-unanswered"]++
+	}
+}
+
 type storedKey struct {
 	value json.RawMessage
 	rev   uint64
@@ -237,6 +257,18 @@
 	case u.Path == "/multi" && len(t.Then) > 0 && s.now.Before(s.muted[node].until):
 		s.after(s.muted[node].late, func() { s.multi(&t, func(int, []byte) {}) })
 	case u.Path == "/multi" && len(t.Then) > 0 && s.late.hits(s.clock):
+		if s.late.atOnce {
+			s.multi(&t, func(status int, _ []byte) {
+				if status != 200 {
+					return
+				}
+				s.met["write-unanswered"]++
+				for _, w := range t.Then {
+					s.unheard[w.Write+w.Drop] = unheard{node, s.now}
+				}
+			})
+			return
+		}
 		s.after(s.spread(7*time.Second, 5./7), func() { // as the bench has it
 			s.multi(&t, func(status int, _ []byte) {
 				s.met["late-write"]++
@@ -263,6 +295,7 @@
 		answer(200, encode(object{"entries": entries, "truncated": more, "storeRev": s.rev}))
 	case strings.HasPrefix(u.Path, "/store/"):
 		k := strings.TrimPrefix(u.Path, "/store/")
+		s.readMeanwhile(node, k)
 		if e := s.keys[k]; e != nil {
 			answer(200, encode(object{"k": k, "v": e.value, "keyRev": e.rev, "grant": e.grant}))
 		} else {
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -20,6 +20,7 @@
 	hung              time.Time
 	leaves            time.Time // notice of being taken
 	deaf              time.Time // until then its reports arrive, and no answer or command reaches it
+	mute              time.Time // until then it opens no connection to a controller
 
 	tenure, counter, epoch uint64
 	tasks                  []*task
@@ -166,6 +167,11 @@
 	m.news = false
 	m.plan++
 	id, tenure, sent := m.flight, m.tenure, m.now
+	if m.now.Before(m.mute) {
+		m.met["mute-report"]++
+		m.after(500*time.Millisecond, func() { m.do(func() { m.failed(id) }) })
+		return
+	}
 	rep := m.describe()
 	n := m.nodes[m.node%len(m.nodes)]
 	back := func(f func()) { m.net.send("reply", n.name, m.host, func() { m.do(f) }) }
@@ -187,7 +193,9 @@
 			})
 		})
 	})
-	if m.reports.hits(m.clock) {
+	if m.reports.next && m.reports.hits(m.clock) {
+		m.keepReport(rep)
+	} else if m.reports.hits(m.clock) {
 		// What the network has kept arrives a second time; nobody waits for its answer.
 		m.after(m.spread(m.lease+2*time.Second, 1-4/(m.lease.Seconds()+2)), func() {
 			if n.alive {
@@ -199,6 +207,43 @@
 	m.after(4*time.Second, func() { m.do(func() { m.failed(id) }) })
 }
 
+// keptMost bounds the copies of one machine's reports that are kept for the next leader.
+const keptMost = 3
+
+// keepReport keeps a copy for the next leader.
+func (w *world) keepReport(rep core.Report) {
+	n := 0
+	for i := range w.kept {
+		if w.kept[i].Host == rep.Host {
+			n++
+		}
+	}
+	if n < keptMost {
+		w.kept = append(w.kept, rep)
+	}
+}
+
+// tellKept has every controller get the reports that were kept, as a leader begins: before
+// it has read the records, meanwhile and after.
+func (w *world) tellKept() {
+	kept := w.kept
+	w.kept = nil
+	for _, rep := range kept {
+		for _, n := range w.nodes {
+			w.after([]time.Duration{0, time.Millisecond, 4 * time.Millisecond, 40 * time.Millisecond, 500 * time.Millisecond}[w.rng.IntN(5)], func() {
+				if !n.alive {
+					return
+				}
+				w.met["report-for-next"]++
+				if m := w.workers[rep.Host]; !m.gone.IsZero() {
+					w.met["report-of-gone"]++
+				}
+				n.ask(func(ref uint64) any { return core.ReportIn{Ref: ref, Report: rep} }, func(any) {})
+			})
+		}
+	}
+}
+
 // describe is what the worker says of itself.
 func (m *worker) describe() core.Report {
 	rep := core.Report{Host: m.host, Address: m.address(m.host), Flavor: m.flavor.name, Zone: m.zone, Reclaimable: m.reclaimable,
@@ -217,6 +262,9 @@
 
 // command is a direct command without orders.
 func (m *worker) command(epoch, tenure uint64) (core.Outcome, core.Report) {
+	if m.now.Before(m.mute) {
+		m.met["mute-command"]++
+	}
 	m.counter++
 	if epoch < m.epoch || tenure != m.tenure {
 		return core.Conflict, m.describe()
@@ -378,6 +426,7 @@
 		t.job.done[t.id.Index] = true
 		if len(t.job.done) == t.job.spec.Tasks && t.job.finished.IsZero() {
 			t.job.finished = m.now
+			m.ended(t.job)
 		}
 	}
 	m.changed()
