--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -561,8 +561,8 @@
 	l := c.lead
 	room := map[*team]float64{}
 	for _, j := range l.queue {
-		if j.halted() || c.now.Before(j.retryAt) {
-			continue
+		if j.halted() || c.now.Before(j.retryAt) || j.spec.Zone != "" && !l.zones.Zone(j.spec.Zone).Rents() {
+			continue // machines elsewhere would be rented for nothing
 		}
 		n := float64(j.waiting) * float64(j.need.CPU) / 1000
 		if t := j.team; t.limit.CPU > 0 {
@@ -742,6 +742,7 @@
 			l.dirty = true
 		case Refused:
 			delete(l.rent.wanted, name)
+			l.zones.Zone(w.zone).Refused(c.now)
 			l.rent.refused[w.offer] = c.now.Add(c.jitter(10 * time.Second))
 			c.note(slog.LevelInfo, "rental refused", "type", w.flavor, "zone", w.zone, "cheap", w.reclaimable, "wanted", w.n)
 		case Invalid:
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -32,6 +32,7 @@
 	capacity map[kindKey]int
 	made     int
 	requests map[string][]string // what a request name returned
+	asked    map[string]string   // and what it asked for
 	machines []*worker           // all there ever were, in order
 	lag      time.Duration
 	down     time.Time
@@ -134,6 +135,10 @@
 		answer(400, nil)
 		return
 	}
+	if was, ok := c.asked[r.Rental]; ok && was != string(body) {
+		c.w.fail("misuse", "a rental's name is used again: %s, before: %s", body, was)
+	}
+	c.asked[r.Rental] = string(body)
 	if got, ok := c.requests[r.Rental]; ok {
 		answer(200, encode(object{"hosts": got}))
 		return
--- /dev/null
+++ b/internal/scenario/hunted_test.go
@@ -0,0 +1,157 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// hunted are the meetings of the operators' letter and page, each by itself: what brings it
+// about, and what must have come about, over all its seeds together. Each is played alone and
+// with a change of leader at a drawn instant.
+var hunted = []struct {
+	name  string
+	begin string // in place of the world of meetings
+	text  string
+	met   []string
+	calm  bool // alone only
+}{
+	{name: "close looks", text: "at 1s close_looks 150s", met: []string{"look", "look-cancel", "cancelled-on"}},
+	{name: "only the answer lost", text: "at 4s late_writes 60s share=0.4 at_once=true\nat 3s close_looks 90s", met: []string{"write-unanswered", "read-unanswered", "look"}},
+	{name: "every team at its limit", begin: `
+seed %d
+team t max=10
+team u max=6
+type s cpus=4 mem=16 rate=0.3 low=0.1 ready=3s fetch=2
+capacity s a n=6
+capacity s b n=6
+machines s a n=4
+machines s b n=4
+at 1s burst 10 gap=1s tasks=2 run=20s gb=0.5 vary=0.5
+at 1s burst 5 gap=2s tasks=3 run=15s gb=0.5 owner=u image=i2 class=three
+at 2s burst 3 gap=4s tasks=3 run=60s samePlace gb=0.5 class=gang
+at 2s burst 2 gap=9s tasks=4 run=30s apart gb=0.5 owner=u class=apart
+at 3s submit wk-7 service tasks=2 owner=u gb=0.5
+at 4s submit wk-8 service tasks=3 gb=0.5
+at 120s cancel wk-7
+at 130s cancel wk-8
+`, text: "at 24s cut 2 25s reset\nat 24s cancel_now 6 hang=16s\nat 50s cancel_now 3 hang=8s", met: []string{"cancel-at-limit", "cancel-now-hung", "cancelled-on"}},
+	{name: "cancellations in a handover", text: "at 19700ms cancel_now 3\nat 20s leave leader back=700ms\nat 20300ms cancel_now 3\nat 21s cancel_now 2\nat 30s deny leader 4s\nat 30050ms cancel_now 3\nat 40s cut 5 6s reset only=n0\nat 40300ms cancel_now 3\nat 60s roll 700ms back=300ms\nat 60500ms cancel_now 4\nat 61500ms cancel_now 4\nat 80s cancel_now 2\nat 80100ms crash leader back=2s\nat 80200ms cancel_now 4\nat 15s close_looks 60s",
+		met: []string{"cancel-again", "cancelled-on", "cancel-now"}},
+	{name: "new machines while writes lag", begin: `
+seed %d
+team t max=46
+team u
+type s cpus=4 mem=16 rate=0.3 low=0.1 ready=10s fetch=2
+capacity s a n=10 spot=10
+capacity s b n=10 spot=10
+at 0s boots 12
+at 1s burst 14 gap=2s tasks=4 run=20s gb=0.5 vary=0.5
+at 2s burst 8 gap=4s tasks=3 run=9s gb=0.5 vary=0.5 owner=u image=i2 cancelled=0.3 class=d
+`, text: "at 1s late_writes 50s share=0.6\nat 3s flap leader 30s every=2700ms back=300ms\nat 40s take 6", met: []string{"unrecorded", "late-write"}},
+	{name: "an old report as a leader begins", text: "at 1s late_reports 90s share=0.3 for_next=true\nat 15s flap leader 60s every=9s back=400ms\nat 16s restart 2 back=100ms\nat 30s restart 2 back=200ms anew\nat 22s take 2\nat 26s hang 2 23s", met: []string{"report-for-next", "report-of-gone"}},
+	{name: "four jobs a second, a quarter cancelled", begin: `
+seed %d
+nodes 5
+state rps=260 write_rps=70
+team t
+team u
+type s cpus=4 mem=16 rate=0.3 low=0.1 ready=3s fetch=2
+capacity s a n=14
+capacity s b n=14
+machines s a n=9
+machines s b n=9
+at 1s burst 600 gap=250ms run=8s gb=0.5 vary=0.4 cancelled=0.25
+at 5s burst 10 gap=12s tasks=9 run=30s gb=0.5 owner=u class=other
+expect refused <20
+expect submitted >90
+`, text: "at 70s outage state 6s", met: []string{"cancelled-on"}},
+	{name: "the same in peace", begin: `
+seed %d
+nodes 5
+state rps=260 write_rps=70
+team t
+team u
+type s cpus=4 mem=16 rate=0.3 low=0.1 ready=3s fetch=2
+capacity s a n=14
+capacity s b n=14
+machines s a n=9
+machines s b n=9
+at 1s burst 600 gap=250ms run=8s gb=0.5 vary=0.4 cancelled=0.25
+at 5s burst 10 gap=12s tasks=9 run=30s gb=0.5 owner=u class=other
+expect refused <3
+expect submitted >99
+`, met: []string{"cancelled-on"}, calm: true},
+
+	{name: "mute workers", text: "at 16s machine_mute 5 30s\nat 40s machine_mute zone=b 24s", met: []string{"mute-report"}},
+	{name: "ten leaders in two minutes", text: "at 10s flap leader 120s every=12s back=1s\nat 60s outage state 26s\nat 62s flap all 20s every=5s back=300ms", met: []string{"cancelled-on"}},
+	{name: "at the end of the last task", text: "at 1s cancel_at_end 120s share=0.7\nat 1s close_looks 120s\nat 1s odd_requests 120s", met: []string{"cancel-at-end", "look", "odd-unfit", "odd-lacks"}},
+	{name: "a report held until a leader has acted", text: "at 16s cut 8 7s hold\nat 16100ms crash leader back=300ms\nat 40s cut 8 9s hold only=n0,n1\nat 40100ms crash leader back=300ms", met: []string{"held-report"}},
+	{name: "a zone with a controller cut for longer than a lease", text: "at 16s cut zone=a 34s hold nodes=leader\nat 20s cancel_now 4\nat 70s cut zone=b 30s reset nodes=n1\nat 75s cancel_now 3", met: []string{"cancel-now"}},
+	{name: "refused alone, then all, as jobs are cancelled", text: "at 20s deny leader 60s\nat 20s cancel_now 6\nat 21s outage state 47s", met: []string{"cancel-again", "cancelled-on"}},
+	{name: "bound to a zone", text: "at 3s burst 6 gap=3s zone=a tasks=5 run=25s gb=0.5 class=za\nat 4s burst 4 gap=4s zone=b tasks=2 run=40s gb=0.5 class=zb owner=u ordinary\nat 16s hang 4 30s\nat 24s restart 3 back=200ms anew\nat 34s cut zone=a 24s reset nodes=none", met: []string{"cancelled-on"}},
+	{name: "more work than room over slow links", text: "at 0s latency 140ms\nat 3s burst 20 gap=500ms tasks=6 run=15s gb=0.5 urgency=urgent class=pressing owner=u\nat 3s burst 5 gap=1s tasks=8 run=20s gb=0.5 urgency=idle class=spare owner=u\nat 20s late_writes 20s share=0.3", met: []string{"late-write"}},
+	{name: "at its limit, machines not to be asked", begin: `
+seed %d
+team t max=12
+team u max=9
+type s cpus=4 mem=16 rate=0.3 low=0.1 ready=3s fetch=2
+capacity s a n=7
+capacity s b n=7
+machines s a n=4
+machines s b n=4
+at 1s burst 12 gap=1s tasks=3 run=30s gb=0.5 vary=0.5
+at 1s burst 6 gap=2s tasks=2 run=25s gb=0.5 owner=u image=i2 class=two
+`, text: "at 18s cut 3 24s hold\nat 18500ms crash leader back=300ms\nat 19s cancel_now 3\nat 23s cancel_now 3\nat 30s machine_deaf 2 15s", met: []string{"cancel-at-limit", "cancelled-on"}},
+	{name: "all controllers away for longer than a lease", text: "at 15800ms cancel_now 4\nat 16s crash all back=27s\nat 46s cancel_now 3", met: []string{"cancel-now", "killed"}},
+}
+
+// changes are the changes of leader that a meeting is also played with.
+var changes = []string{"crash leader back=100ms", "crash leader back=3s", "leave leader back=500ms", "roll 500ms back=200ms", "deny leader 7s", "cut leader 9s hold only=state,peers", "stall leader 6s"}
+
+// TestHunted plays each meeting over some seeds, 20 of them with -meetings.
+func TestHunted(t *testing.T) {
+	n := 2
+	if *all {
+		n = 20
+	}
+	for _, x := range hunted {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			begin := x.begin
+			if begin == "" {
+				begin = meeting
+			}
+			met := map[string]int{}
+			for seed := range n {
+				rng := rand.New(rand.NewPCG(uint64(seed), 17))
+				with := []string{"", fmt.Sprintf("at %dms %s\n", 8000+rng.IntN(50000), changes[rng.IntN(len(changes))])}
+				if x.calm {
+					with = with[:1]
+				}
+				for _, change := range with {
+					res := play(t, fmt.Sprintf(begin, 1+seed)+x.text+"\n"+change+meetingEnd)
+					for k, v := range res.Met {
+						met[k] += v
+					}
+					if t.Failed() {
+						t.Fatalf("seed %d, %s", 1+seed, change)
+					}
+				}
+			}
+			for _, k := range x.met {
+				if met[k] < n {
+					t.Errorf("met %s %d times over %d seeds", k, met[k], n)
+				}
+			}
+			var all []string
+			for _, k := range slices.Sorted(maps.Keys(met)) {
+				all = append(all, fmt.Sprint(k, " ", met[k]))
+			}
+			t.Logf("%d seeds: %s", n, strings.Join(all, ", "))
+		})
+	}
+}
--- a/internal/scenario/looks.go
+++ b/internal/scenario/looks.go
@@ -127,6 +127,11 @@
 			js = append(js, j)
 		}
 	}
+	for _, t := range w.cfg.Settings.Teams {
+		if cpus, gpus := w.uses(t.Name); t.CPUsMax > 0 && cpus+1 > t.CPUsMax || t.GPUsMax > 0 && gpus+1 > t.GPUsMax {
+			w.met["cancel-at-limit"]++
+		}
+	}
 	slices.SortStableFunc(js, func(a, b *userJob) int { return int(max(-1, min(1, left(b)-left(a)))) })
 	js = js[:min(n, len(js))]
 	hung := 0
@@ -263,12 +268,24 @@
 	}
 }
 
+// uses is what a team's tasks take.
+func (w *world) uses(team string) (cpus, gpus float64) {
+	for _, m := range w.cloud.machines {
+		for _, t := range m.tasks {
+			if t.job != nil && t.phase != core.Exited && t.job.spec.Owner == team {
+				cpus, gpus = cpus+t.job.spec.CPUs, gpus+t.job.spec.GPUs
+			}
+		}
+	}
+	return cpus, gpus
+}
+
 // hasRoom returns a machine on which a waiting task of the job could run now, or nil.
 func (w *world) hasRoom(j *userJob) *worker {
 	s := &j.spec
 	there := map[int]bool{}
 	zones := map[string]int{}
-	cpus, gpus := 0.0, 0.0
+	cpus, gpus := w.uses(s.Owner)
 	for _, m := range w.cloud.machines {
 		for _, t := range m.tasks {
 			if t.job == nil || t.phase == core.Exited {
@@ -278,9 +295,6 @@
 				there[t.id.Index] = true
 				zones[m.zone]++
 			}
-			if t.job.spec.Owner == s.Owner {
-				cpus, gpus = cpus+t.job.spec.CPUs, gpus+t.job.spec.GPUs
-			}
 		}
 	}
 	waits := false
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -78,7 +78,7 @@
 	w := &world{clock: newClock(1), workers: map[string]*worker{}, jobs: map[string]*userJob{}, cals: map[string]calendar.Definition{}, clerks: map[string]*clerk{}, history: map[string][]call{}, broken: map[string]bool{}, met: map[string]int{}, tries: map[core.TaskID]uint64{}}
 	w.net = &network{clock: w.clock, latency: time.Millisecond, last: map[[2]string]time.Time{}}
 	w.store = &store{clock: w.clock, keeps: 10000, keys: map[string]*storedKey{}, grants: map[uint64]*storedGrant{}, denied: map[string]time.Time{}, muted: map[string]mute{}, unheard: map[string]unheard{}, refilled: w.now, met: w.met}
-	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, lag: 3 * time.Second}
+	w.cloud = &cloudSim{clock: w.clock, w: w, capacity: map[kindKey]int{}, requests: map[string][]string{}, asked: map[string]string{}, lag: 3 * time.Second}
 	w.address = func(host string) string { return host + workerPort }
 	w.cloud.boots = func() (time.Duration, bool) { return time.Duration(60 + w.rng.IntN(90)), true }
 	s := &w.cfg.Settings
@@ -281,6 +281,14 @@
 	case "finished": // the tasks are done, whether or not the user has asked
 		j := s.jobs[e[1]]
 		return j != nil && !j.finished.IsZero()
+	case "submitted": // submitted N: percent of the submissions that were accepted within a second
+		n, in := 0, 0
+		for _, j := range s.order {
+			if n++; j.accepted && j.since.Sub(j.first) <= time.Second {
+				in++
+			}
+		}
+		return compare(100*in/max(1, n), e[1])
 	case "rejected":
 		return s.jobs[e[1]] != nil && strconv.Itoa(s.jobs[e[1]].status) == e[2]
 	case "accepted":
@@ -665,6 +673,8 @@
 		w.odd(w.now.Add(span(f[1])))
 	case "close_looks": // close_looks D: users ask at all nodes right after a job is accepted, ended or cancelled
 		w.looks = w.now.Add(span(f[1]))
+	case "latency": // latency D: messages take so long from now on
+		w.net.latency = span(f[1])
 	case "look": // look ID: one such look
 		w.look(w.jobs[f[1]], false)
 	case "cut": // cut WHO D hold|reset [only=HOSTS]: leader, peers (all nodes), workers, state, user, names
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -267,6 +267,7 @@
 				w.fail("forgotten", "cancellation of accepted job %s gets 404", j.spec.ID)
 			}
 		default:
+			w.met["cancel-again"]++
 			w.after(again(a), func() { w.cancel(j) })
 		}
 	})
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"yewpass/internal/core"
@@ -80,6 +81,7 @@
 	for _, x := range m.tasks {
 		if x.phase != core.Exited {
 			m.killed++
+			m.met["killed"]++
 		}
 	}
 	m.tasks = nil
@@ -180,6 +182,9 @@
 			back(func() { m.failed(id) })
 			return
 		}
+		if m.now.Sub(sent) > 4*time.Second && n.process == nil && n.core.Leads(n.local()) {
+			m.met["held-report"]++
+		}
 		n.ask(func(ref uint64) any { return core.ReportIn{Ref: ref, Report: rep} }, func(a any) {
 			ans := a.(core.AnswerReport)
 			ans.Orders = slices.Clone(ans.Orders)
@@ -247,6 +252,22 @@
 	}
 }
 
+// countUnrecorded counts the machines that are up as a leader begins and that no record names.
+func (w *world) countUnrecorded() {
+	if w.blind || w.elapsed() < 2*time.Second {
+		return // the first leader finds all machines so
+	}
+	named := ""
+	for _, k := range w.store.sorted("yewpass/live/machine/") {
+		named += string(w.store.keys[k].value)
+	}
+	for _, m := range w.cloud.machines {
+		if m.gone.IsZero() && !m.up.IsZero() && !strings.Contains(named, `"`+m.host+`"`) {
+			w.met["unrecorded"]++
+		}
+	}
+}
+
 // describe is what the worker says of itself.
 func (m *worker) describe() core.Report {
 	rep := core.Report{Host: m.host, Address: m.address(m.host), Flavor: m.flavor.name, Zone: m.zone, Reclaimable: m.reclaimable,
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -355,6 +355,7 @@
 	if leads := n.core.Leads(n.local()); leads != n.leading {
 		if n.leading = leads; leads {
 			n.tellKept()
+			n.countUnrecorded()
 		}
 	}
 	// The core speaks in its own time; drift is too small to matter here.
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -231,3 +231,15 @@
 	z.probed = now
 	return true
 }
+
+// probeAgain is how long after a refusal the next probe comes.
+const probeAgain = 2 * time.Second
+
+// Refused notes that the cloud had no such machine in the zone. If that was a probe it has
+// shown nothing, and another kind may be had: a zone without any of the kind that is tried
+// first would never be found to be back.
+func (z *Zone) Refused(now time.Time) {
+	if z.State == Lost {
+		z.probed = now.Add(probeAgain - z.set.Probe)
+	}
+}
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -124,3 +124,23 @@
 		t.Errorf("%v once the probe reports", z.State)
 	}
 }
+
+// TestRefusedProbe: a refused probe is followed soon by another, which may be of another
+// kind of machine; one that was not is left its time.
+func TestRefusedProbe(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	z := &Zone{set: &Settings{Probe: time.Minute}, State: Lost}
+	at := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
+	for _, x := range []struct {
+		at      int
+		refused bool
+		due     bool
+	}{{0, false, true}, {30, false, false}, {60, false, true}, {61, true, false}, {62, false, false}, {63, false, true}, {100, false, false}, {123, false, true}} {
+		if x.refused {
+			z.Refused(at(x.at))
+		}
+		if got := z.Probe(at(x.at)); got != x.due {
+			t.Errorf("at %d s: %v", x.at, got)
+		}
+	}
+}
