Jobs that can never run are refused without a leader too, naming the field

422 names the field to blame, as 400 does. Schedules wait for the catalog of the term, as before.

Who submitted at the leader a job that another node had accepted meanwhile was never answered (adopt dropped the waiting submission); they hear with the adoption. Found by reading.

--- a/internal/core/alone.go
+++ b/internal/core/alone.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"yewpass/internal/snapshot"
 )
 
 // A submission needs a durable record, not a leader. While a node knows of none, or the
@@ -64,10 +66,6 @@
 		c.answer(call, tooLong)
 		return
 	}
-	if neverRunsOn(s, c.teamNamed(s.Owner), c.flavors) != "" {
-		c.answer(call, no) // the leader says so, who asks the records first
-		return
-	}
 	// Nor does the service know of all jobs if it has lost some. Whoever has the last
 	// leader's copy knows.
 	k := c.lastCopy()
@@ -79,6 +77,10 @@
 		c.answer(call, no)
 		return
 	}
+	if field, reason := neverRunsOn(s, c.teamNamed(s.Owner), c.flavors); reason != "" {
+		c.refuseAlone(call, k, neverRun(field, reason))
+		return
+	}
 	if !c.alone.AllowN(c.now, 2) || !c.reads.AllowN(c.now, 1) {
 		c.answer(call, no)
 		return
@@ -110,6 +112,23 @@
 	})
 }
 
+// refuseAlone refuses a submission for good without a leader: only if the records have the
+// last word that nobody ever accepted it, and the last leader's copy says the same.
+func (c *Core) refuseAlone(call UserCall, k *snapshot.Copy, refusal AnswerUser) {
+	id, no := call.Spec.ID, unavailable("no leader at present")
+	if _, live := k.Get(jobKeys + id); live || !c.reads.AllowN(c.now, 1) {
+		c.answer(call, no)
+		return
+	}
+	c.store(StoreCall{Op: StoreTxn, When: append(unheardOf(id), Cond{termKey, c.confirmedRev})}, func(r StoreReply) {
+		if r.Outcome == OK {
+			c.answer(call, refusal)
+		} else {
+			c.answer(call, no)
+		}
+	})
+}
+
 // followAlone takes on what nodes have accepted without a leader.
 func (c *Core) followAlone() {
 	c.leaderStore(StoreCall{Op: StoreList, Key: aloneKeys, Limit: 200}, func(r StoreReply) {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -40,6 +40,7 @@
 	for i, cpus := range []float64{4, 8, 32} {
 		l.rent.flavors = append(l.rent.flavors, Flavor{Name: fmt.Sprint("f", i), Capacity: timeline.Capacity(cpus, 0, 4*cpus), CPUs: cpus, FetchGBps: 0.4, Rate: cpus, LowRate: cpus / 3, Ready: 20 * time.Second, Zones: []string{"a"}})
 	}
+	l.rent.read = true
 	for i := range n {
 		m := c.machine(fmt.Sprintf("host-%06d", i), fmt.Sprint("f", i%3), "a", true)
 		m.reported, m.record, m.tenure, m.epoch, m.seen = true, recorded, 1, 1, t0
--- a/internal/core/schedule_users.go
+++ b/internal/core/schedule_users.go
@@ -197,13 +197,13 @@
 		c.answer(call, AnswerUser{Status: 400, Field: "at", Reason: "at, rule or job: the description is too long"})
 		return
 	}
-	if len(l.rent.flavors) == 0 {
+	if !l.rent.read {
 		c.answer(call, unavailable("the machine types are not known yet"))
 		return
 	}
 	job := def.Template()
-	if reason := c.neverRuns(&job); reason != "" {
-		c.answer(call, AnswerUser{Status: 422, Field: "job", Reason: "job: " + reason})
+	if field, reason := c.neverRuns(&job); reason != "" {
+		c.answer(call, AnswerUser{Status: 422, Field: "job." + field, Reason: "job." + field + ": " + reason})
 		return
 	}
 	if !c.fits(recordSize(&job)) {
--- a/internal/core/schedules.go
+++ b/internal/core/schedules.go
@@ -243,7 +243,7 @@
 // what is known when it goes.
 func (c *Core) makeOccurrences() {
 	sch := &c.lead.sched
-	if sch.ready.len() == 0 || len(c.lead.rent.flavors) == 0 || !c.acts() {
+	if sch.ready.len() == 0 || !c.lead.rent.read || !c.acts() {
 		return
 	}
 	room := c.cfg.Settings.State.TxnOps
@@ -262,7 +262,7 @@
 // occurrencesWait reports whether some could be made if the allowance let them.
 func (c *Core) occurrencesWait() bool {
 	l := c.lead
-	return len(l.pipe.waits[due]) > 0 || l.sched.ready.len() > 0 && len(l.rent.flavors) > 0
+	return len(l.pipe.waits[due]) > 0 || l.sched.ready.len() > 0 && l.rent.read
 }
 
 // decide decides on the next occurrences of a schedule, up to one that becomes a
@@ -283,7 +283,7 @@
 		o, v, reason := s.def.Decide(cursor, now, before)
 		if v == schedule.Make {
 			job := s.def.Job(s.rec.Number, o)
-			if why := c.neverRuns(&job); why != "" {
+			if _, why := c.neverRuns(&job); why != "" {
 				v, reason = schedule.Miss, "can never run: "+why
 			} else if late, refused := c.refuses(&job); refused && now.Sub(o.Start) > max(s.def.Within, schedule.OnTime) {
 				v, reason = schedule.Miss, "refused for as long as it could be made"
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -345,8 +345,13 @@
 		}
 		c.keep(r.Entries[0])
 		if rec, _ := r.Entries[0].Value.(*JobRecord); rec != nil && c.lead.jobs[id] == nil {
+			a := c.lead.accept[id]
 			delete(c.lead.accept, id)
-			c.jobLoaded(c.addJob(rec, false))
+			j := c.addJob(rec, false)
+			c.jobLoaded(j)
+			if a != nil { // what another node has accepted meanwhile: nobody else tells them
+				a.answerAll(c, AnswerUser{Status: 200, View: j.view()})
+			}
 		}
 		if c.lead.jobs[id] == nil {
 			otherwise()
@@ -377,12 +382,12 @@
 	}
 	// A refusal must never meet a job that was accepted once, so the records
 	// have the last word before it.
-	if reason := c.neverRuns(s); reason != "" {
+	if field, reason := c.neverRuns(s); reason != "" {
 		if !l.rent.read {
 			c.answer(call, unavailable("the machine types are not known yet"))
 			return
 		}
-		c.readBack(call, func() { c.answer(call, AnswerUser{Status: 422, Reason: reason}) })
+		c.readBack(call, func() { c.answer(call, neverRun(field, reason)) })
 		return
 	}
 	if late, refused := c.refuses(s); refused {
@@ -454,8 +459,13 @@
 	})
 }
 
-// neverRuns says why a job can never run, or "".
-func (c *Core) neverRuns(s *JobSpec) string {
+// neverRun refuses a job for good.
+func neverRun(field, reason string) AnswerUser {
+	return AnswerUser{Status: 422, Field: field, Reason: field + ": " + reason}
+}
+
+// neverRuns says why a job can never run, and by which of its fields, or "".
+func (c *Core) neverRuns(s *JobSpec) (field, reason string) {
 	return neverRunsOn(s, c.lead.teams[s.Owner], c.lead.rent.flavors)
 }
 
@@ -470,24 +480,44 @@
 }
 
 // neverRunsOn is neverRuns for its team, nil if there is none of that name, and types.
-func neverRunsOn(s *JobSpec, t *team, flavors []Flavor) string {
+func neverRunsOn(s *JobSpec, t *team, flavors []Flavor) (field, reason string) {
 	if t == nil || !t.configured {
-		return "unknown team " + s.Owner
+		return "owner", "unknown team " + s.Owner
 	}
 	n := 1
 	if s.Service {
 		n = s.Tasks
 	}
-	if !t.within(s.Need(), n) {
-		return "the job needs more than the limit of team " + s.Owner
+	if need := s.Need(); !t.within(need, n) {
+		field = "vcpus"
+		if t.limit.CPU == 0 || need.CPU*int64(n) <= t.limit.CPU {
+			field = "gpus"
+		}
+		return field, "the job needs more than the limit of team " + s.Owner
 	}
+	// The field that is to blame is the one that the best type fails by.
+	field = "flavors"
 	for i := range flavors {
 		f := &flavors[i]
-		if flavorAllowed(s, f.Name) && s.Need().Fits(f.Capacity) && (s.Zone == "" || hasZone(f, s.Zone)) {
-			return ""
+		switch {
+		case !flavorAllowed(s, f.Name):
+		case s.Zone != "" && !hasZone(f, s.Zone):
+			if field == "flavors" {
+				field = "hall"
+			}
+		case s.Need().Fits(f.Capacity):
+			return "", ""
+		default:
+			field = "vcpus"
+			if need := s.Need(); need.CPU <= f.Capacity.CPU {
+				field = "memGb"
+				if need.GPU > f.Capacity.GPU {
+					field = "gpus"
+				}
+			}
 		}
 	}
-	return "a task fits no allowed machine type"
+	return field, "a task fits no allowed machine type"
 }
 
 // refuses judges a dated job against the timelines of the machines at hand and
