--- a/internal/core/cluster.go
+++ b/internal/core/cluster.go
@@ -47,11 +47,7 @@
 	}
 	r.Unread = slices.Sorted(maps.Keys(l.unread))
 	r.Unread = r.Unread[:min(len(r.Unread), 10)]
-	for _, s := range c.cfg.Seeds {
-		if h := l.holders[s.HostName]; h != nil && h.Whole() {
-			r.Copies = append(r.Copies, s.HostName)
-		}
-	}
+	r.Copies = c.wholeCopies()
 	return r
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -669,7 +669,7 @@
 // One that was answered long ago and whose reports still show no word of ours does not hear:
 // everything that was accepted earlier would wait for it for as long as that lasts.
 func (c *Core) heardLast(m *machine) time.Time {
-	if !m.deafSince.IsZero() && c.now.Sub(m.deafSince) > c.report*5/4+workerGivesUp {
+	if !m.deafSince.IsZero() && c.now.Sub(m.deafSince) > c.heardAgain() {
 		return m.deafSince
 	}
 	return m.seen
--- a/internal/core/rebuild.go
+++ b/internal/core/rebuild.go
@@ -244,6 +244,16 @@
 	}
 }
 
+// wholeCopies names the controllers that have a whole copy of the records, this one aside.
+func (c *Core) wholeCopies() (names []string) {
+	for _, s := range c.cfg.Seeds {
+		if h := c.lead.holders[s.HostName]; h != nil && h.Whole() {
+			names = append(names, s.HostName)
+		}
+	}
+	return names
+}
+
 // copyMore sends a part of the base to those that have not got all of it, some to each.
 func (c *Core) copyMore() {
 	l := c.lead
--- a/internal/core/relays.go
+++ b/internal/core/relays.go
@@ -480,6 +480,10 @@
 // node: it may have sent its report to a relay that had just gone quiet.
 const workerGivesUp = 4*time.Second + time.Second
 
+// heardAgain is within which time a worker that is well is heard again, though its next report
+// has no answer and goes to another node.
+func (c *Core) heardAgain() time.Duration { return c.report*5/4 + workerGivesUp }
+
 // hearRelays notes which relays say nothing. A worker of theirs is not silent by itself:
 // it finds out when its next report has had no answer for long, and goes elsewhere then.
 // Returned before that it would have lost its tasks for nothing.
@@ -510,7 +514,7 @@
 // patience is how long the machine may be silent, given how long one may be.
 func (c *Core) patience(m *machine, silent time.Duration) time.Duration {
 	if m.home != nil && m.home.quiet.After(m.seen) {
-		return max(silent, c.report*5/4+workerGivesUp+time.Second)
+		return max(silent, c.heardAgain()+time.Second)
 	}
 	return silent
 }
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -35,11 +35,7 @@
 	if l.rebuild != nil {
 		s.RecordsLeft = l.rebuild.left
 	}
-	for _, h := range l.holders {
-		if h.Whole() {
-			s.Copies++
-		}
-	}
+	s.Copies = len(c.wholeCopies())
 	s.OccurrencesMade, s.OccurrencesMissed, s.OccurrencesLate = l.sched.made, l.sched.missed, l.sched.late
 	for _, j := range l.jobs {
 		s.Waiting += j.waiting
--- a/internal/lapse/lapse.go
+++ b/internal/lapse/lapse.go
@@ -4,7 +4,10 @@
 // knows no clock. docs/design/cancellation.md has the argument.
 package lapse
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The protocol bounds the drift of steady clocks at 0.05%, and two may drift apart: all
 // margins take twice that.
@@ -61,13 +64,7 @@
 func (t Times) Confirm(begun, authority time.Time) time.Time {
 	own := begun.Add(WithDrift(t.Lease) - t.Cancel)
 	earlier := t.Gone(authority).Add(-t.Cancel)
-	at := begun
-	for _, x := range []time.Time{own, earlier} {
-		if x.After(at) {
-			at = x
-		}
-	}
-	return at
+	return slices.MaxFunc([]time.Time{begun, own, earlier}, time.Time.Compare)
 }
 
 // Short says what gives way where the settings leave no room, or "".
