Terms go on above the workers' epochs when all data and all memory are lost; rental names

With the state service wiped and every controller lost, terms began again at 1: each worker dropped all that it was told, the whole fleet was returned, and rentals used names that the cloud knew and answered with machines long gone. One worker alone is taken for faulty as before (TestDrillClaimedEpoch).

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -84,9 +84,10 @@
 	endsFrom   string // who tells us how jobs have ended
 	ends       snapshot.Holder
 	search     searching
-	scheduling int           // of them, those that schedules are read from
-	fresh      bool          // no term was on record before ours
-	lag        time.Duration // for so long into our term an earlier leader may have led
+	scheduling int               // of them, those that schedules are read from
+	fresh      bool              // no term was on record before ours
+	beyond     map[string]uint64 // epochs above our term that workers have seen, by machine
+	lag        time.Duration     // for so long into our term an earlier leader may have led
 
 	holdIdle, holdBusy time.Duration
 	margin             float64
@@ -366,7 +367,7 @@
 		tally: topology.NewTally(),
 		sched: newSchedules(),
 
-		holders: map[string]*snapshot.Sender{},
+		holders: map[string]*snapshot.Sender{}, beyond: map[string]uint64{},
 	}
 	// What this node has read of the catalog lately serves until it can be read anew. Without,
 	// a leader that begins while the cloud is out would start nothing and accept nothing, with
@@ -648,10 +649,13 @@
 
 // retire ends a term that is in order: the grant goes back, so that the next begins
 // at once.
-func (c *Core) retire(why string) {
+func (c *Core) retire(why string) { c.retireThen(why, func() {}) }
+
+// retireThen is retire, with what this node does once the grant has been given back.
+func (c *Core) retireThen(why string, then func()) {
 	grant := c.lead.grant
 	c.stepDown(why)
-	c.store(StoreCall{Op: StoreDropGrant, Grant: grant}, func(StoreReply) {})
+	c.store(StoreCall{Op: StoreDropGrant, Grant: grant}, func(StoreReply) { then() })
 }
 
 // leadPump runs after each input while we lead.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -250,6 +251,9 @@
 // not end the term for all the others.
 func (c *Core) strayEpoch(host string, epoch uint64, useless func()) {
 	c.doubt("a worker has seen a newer epoch", func() {
+		if c.beganAgain(host, epoch) {
+			return
+		}
 		c.note(slog.LevelWarn, "worker has seen an epoch that never was", "machine", host, "claimed", epoch, "term", c.lead.term)
 		if c.lead.loaded && !c.lead.gone.has(host) {
 			useless()
@@ -257,6 +261,33 @@
 	})
 }
 
+const (
+	// beganAgainFrom is how many workers must have seen an epoch above ours for it to be our
+	// terms that have begun again: one alone is rather faulty itself.
+	beganAgainFrom = 2
+	// epochMost is the largest epoch that is believed. Terms are counted one by one, and far
+	// above this there would soon be none left.
+	epochMost = 1 << 32
+)
+
+// beganAgain reports whether a worker's newer epoch may show that terms have begun again. When
+// the state service and every controller's memory are lost together, nobody else is left to
+// tell: the workers would drop all that we say, and the whole fleet be returned for it. As
+// soon as several say so, the terms go on above theirs.
+func (c *Core) beganAgain(host string, epoch uint64) bool {
+	l := c.lead
+	if !l.fresh || epoch > epochMost || c.now.Sub(l.since) > 2*c.lease {
+		return false
+	}
+	l.beyond[host] = epoch
+	if len(l.beyond) >= beganAgainFrom {
+		c.known.Term = slices.Max(slices.Collect(maps.Values(l.beyond)))
+		// Who knows of it stands at once: the others would go by what is on record.
+		c.suspectThen("workers have seen newer terms than were on record", func() { c.stand(0) })
+	}
+	return true
+}
+
 // unhold takes away the report that a machine waits on and returns what names it.
 func (c *Core) unhold(m *machine) holdKey {
 	key := m.held.holdKey
--- a/internal/core/rebuild.go
+++ b/internal/core/rebuild.go
@@ -101,14 +101,17 @@
 
 // suspect: what we have seen shows that data was lost. A leader's word rests on records
 // that may be gone, so it leads no more until it is known what there is.
-func (c *Core) suspect(why string) {
+func (c *Core) suspect(why string) { c.suspectThen(why, func() {}) }
+
+// suspectThen is suspect, with what a leader does once its grant has been given back.
+func (c *Core) suspectThen(why string, then func()) {
 	if c.lostWhy != "" {
 		return
 	}
 	c.lostWhy = why
 	c.note(slog.LevelError, "the state service has lost data", "reason", why, "era", c.known.Era, "term", c.known.Term, "revision", c.known.Rev)
 	if l := c.lead; l != nil {
-		c.retire(why)
+		c.retireThen(why, then)
 	}
 }
 
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -707,7 +707,10 @@
 	ch := cs[0]
 	n := min(int(math.Ceil(cpus/ch.f.CPUs)), 50, room)
 	l.rent.count++
-	name := fmt.Sprintf("t%d-%d", l.term, l.rent.count)
+	// Terms rise for as long as they are on record; where all of it is lost they may begin
+	// again, and only the era is another then. The cloud would answer a name that it knows
+	// with machines that are long gone.
+	name := fmt.Sprintf("t%d-%d-%x", l.term, l.rent.count, c.known.Era)
 	l.rent.wanted[name] = &rental{offer: ch.offer, n: n, cpus: float64(n) * ch.f.CPUs, at: c.now}
 	c.request(name)
 	return true
