--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -294,6 +294,25 @@
 	}
 }
 
+// TestAcceptedElsewhereMeanwhile: who has submitted at the leader a job that another node
+// accepts meanwhile hears so when the leader takes it on.
+func TestAcceptedElsewhereMeanwhile(t *testing.T) {
+	d := newDesk(t)
+	ref := d.user(OpSubmit, "wk-1", plainJob("wk-1", 1), nil)
+	d.calls = nil // its write is on its way
+	d.c.whenLeading(0, func() { d.c.learnAlone(aloneKeys + "wk-1") })
+	d.in(Tick{})
+	for _, x := range d.calls {
+		if call, ok := x.(StoreCall); ok && call.Op == StoreGet && call.Key == jobKeys+"wk-1" {
+			rec := &JobRecord{Spec: *plainJob("wk-1", 1), Submitted: d.c.now}
+			d.in(StoreReply{Ref: call.Ref, Rev: 90, Entries: []Entry{{Key: call.Key, Value: rec, Rev: 90}}})
+		}
+	}
+	if a := d.answer(ref); a.Status != 200 || a.View.State != Queued {
+		t.Errorf("%+v", a)
+	}
+}
+
 // TestNothingFound: 404 takes two answers of the state service that say so, and one that
 // its data is what this leader's term is on record with.
 func TestNothingFound(t *testing.T) {
