--- a/internal/scenario/hunted_test.go
+++ b/internal/scenario/hunted_test.go
@@ -9,6 +9,22 @@
 	"testing"
 )
 
+// ones has four one-task jobs a second for two and a half minutes, a quarter of them cancelled.
+const ones = `
+seed %d
+nodes 5
+state rps=260 write_rps=70
+team t
+team u
+type s cpus=4 mem=16 rate=0.3 low=0.1 ready=3s fetch=2
+capacity s a n=14
+capacity s b n=14
+machines s a n=9
+machines s b n=9
+at 1s burst 600 gap=250ms run=8s gb=0.5 vary=0.4 cancelled=0.25
+at 5s burst 10 gap=12s tasks=9 run=30s gb=0.5 owner=u class=other
+`
+
 // hunted are the meetings of the operators' letter and page, each by itself: what brings it
 // about, and what must have come about, over all its seeds together. Each is played alone and
 // with a change of leader at a drawn instant.
@@ -53,38 +69,8 @@
 at 2s burst 8 gap=4s tasks=3 run=9s gb=0.5 vary=0.5 owner=u image=i2 cancelled=0.3 class=d
 `, text: "at 1s late_writes 50s share=0.6\nat 3s flap leader 30s every=2700ms back=300ms\nat 40s take 6", met: []string{"unrecorded", "late-write"}},
 	{name: "an old report as a leader begins", text: "at 1s late_reports 90s share=0.3 for_next=true\nat 15s flap leader 60s every=9s back=400ms\nat 16s restart 2 back=100ms\nat 30s restart 2 back=200ms anew\nat 22s take 2\nat 26s hang 2 23s", met: []string{"report-for-next", "report-of-gone"}},
-	{name: "four jobs a second, a quarter cancelled", begin: `
-seed %d
-nodes 5
-state rps=260 write_rps=70
-team t
-team u
-type s cpus=4 mem=16 rate=0.3 low=0.1 ready=3s fetch=2
-capacity s a n=14
-capacity s b n=14
-machines s a n=9
-machines s b n=9
-at 1s burst 600 gap=250ms run=8s gb=0.5 vary=0.4 cancelled=0.25
-at 5s burst 10 gap=12s tasks=9 run=30s gb=0.5 owner=u class=other
-expect refused <20
-expect submitted >90
-`, text: "at 70s outage state 6s", met: []string{"cancelled-on"}},
-	{name: "the same in peace", begin: `
-seed %d
-nodes 5
-state rps=260 write_rps=70
-team t
-team u
-type s cpus=4 mem=16 rate=0.3 low=0.1 ready=3s fetch=2
-capacity s a n=14
-capacity s b n=14
-machines s a n=9
-machines s b n=9
-at 1s burst 600 gap=250ms run=8s gb=0.5 vary=0.4 cancelled=0.25
-at 5s burst 10 gap=12s tasks=9 run=30s gb=0.5 owner=u class=other
-expect refused <3
-expect submitted >99
-`, met: []string{"cancelled-on"}, calm: true},
+	{name: "four jobs a second, a quarter cancelled", begin: ones + "expect refused <20\nexpect submitted >90\n", text: "at 70s outage state 6s", met: []string{"cancelled-on"}},
+	{name: "the same in peace", begin: ones + "expect refused <3\nexpect submitted >99\n", met: []string{"cancelled-on"}, calm: true},
 
 	{name: "mute workers", text: "at 16s machine_mute 5 30s\nat 40s machine_mute zone=b 24s", met: []string{"mute-report"}},
 	{name: "ten leaders in two minutes", text: "at 10s flap leader 120s every=12s back=1s\nat 60s outage state 26s\nat 62s flap all 20s every=5s back=300ms", met: []string{"cancelled-on"}},
