Terms go on well above the workers' after a total loss; drills with the real program

Terms go on 1,024 above the newest epoch that was heard of.

TestDrillDataLost empties the state service under three controllers, then with the leader killed; TestDrillAllLost with all of them.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -268,6 +268,9 @@
 	// epochMost is the largest epoch that is believed. Terms are counted one by one, and far
 	// above this there would soon be none left.
 	epochMost = 1 << 32
+	// termsUnseen is how far above the newest epoch that was heard of the terms go on: those who
+	// say so first need not have seen the last ones, and others may.
+	termsUnseen = 1 << 10
 )
 
 // beganAgain reports whether a worker's newer epoch may show that terms have begun again. When
@@ -281,7 +284,7 @@
 	}
 	l.beyond[host] = epoch
 	if len(l.beyond) >= beganAgainFrom {
-		c.known.Term = slices.Max(slices.Collect(maps.Values(l.beyond)))
+		c.known.Term = slices.Max(slices.Collect(maps.Values(l.beyond))) + termsUnseen
 		// Who knows of it stands at once: the others would go by what is on record.
 		c.suspectThen("workers have seen newer terms than were on record", func() { c.stand(0) })
 	}
--- a/internal/scenario/drill_test.go
+++ b/internal/scenario/drill_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -145,6 +146,63 @@
 // TestDrillStandardError: whoever reads a controller's log goes away, or stays and
 // TestDrillTermRecord: what says which term it is cannot be read, or is gone, or
 // the leader's key stands without a grant. The cluster finds a leader, whose term is
+// saidAny reports whether one of the processes has logged an error with the text.
+func saidAny(ps []*proc, text string) bool {
+	return slices.ContainsFunc(ps, func(p *proc) bool { return p.said("level=ERROR", text) })
+}
+
+// TestDrillDataLost: the state service loses all that it had while tasks run, under a leader
+// that lives, then together with the leader. What the controllers know of goes on, is answered
+// and ends.
+func TestDrillDataLost(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(3, nil)
+	f.leader()
+	f.works("wk-1")
+	lost := func(id string, kill func()) {
+		j := f.job(id, "tasks=12", "run=4s")
+		f.until("tasks run", func() bool { return f.on(id) > 5 })
+		f.with(func() { f.store.wipe("", true) })
+		kill()
+		f.until(id+" is done", told(core.Done, j))
+	}
+	lost("wk-2", func() {})
+	f.running(ps)
+	f.until("an alert", func() bool { return saidAny(ps, "rebuilding after a loss of data") })
+	f.until("all ready", func() bool { return ps[0].healthy && ps[1].healthy && ps[2].healthy })
+	l := f.leader()
+	lost("wk-3", l.kill)
+	l.start()
+	f.until("all ready again", func() bool { return ps[0].healthy && ps[1].healthy && ps[2].healthy })
+}
+
+// TestDrillAllLost: the state service loses all that it had, and every controller is lost with
+// it. Terms go on above what the workers have seen, and the cluster works.
+func TestDrillAllLost(t *testing.T) {
+	f := newFront(t, site)
+	ps := f.controllers(2, nil)
+	for range 2 {
+		l := f.leader()
+		l.kill()
+		f.until("another leads", func() bool { n := f.leads(); return n != nil && n != l })
+		l.start()
+		f.until("both ready", func() bool { return ps[0].healthy && ps[1].healthy })
+	}
+	before := f.leader().metric("yewpass_term")
+	for _, p := range ps {
+		p.kill()
+	}
+	f.with(func() { f.store.wipe("", true) })
+	for _, p := range ps {
+		p.start()
+	}
+	f.until("terms go on", func() bool { return saidAny(ps, "workers have seen newer terms") })
+	f.works("wk-1")
+	if after := f.leader().metric("yewpass_term"); after <= before {
+		t.Errorf("term %g is followed by %g", before, after)
+	}
+}
+
 // TestDrillBadRecords: records that cannot be read are an alert each; their jobs
 // get 503, never 404, and all the others are served. A record of machines that
 // TestDrillPaused: a leader stands still for longer than its grant while tasks
