Stand-in users: one way to call a node, one check of refusals, 404 to a first submission retried

A call at one node was built beside request's own, and the check that a repeated submission is never refused stood twice. Nothing outside the stand-ins is touched.

--- a/internal/scenario/looks.go
+++ b/internal/scenario/looks.go
@@ -64,12 +64,12 @@
 		for _, n := range w.nodes {
 			w.after(d, func() {
 				if n.alive {
-					w.ask(n, j, core.OpGet, 2*time.Second, w.polled(j))
+					w.requestAt(n, core.OpGet, nil, j.spec.ID, 2*time.Second, w.polled(j))
 				}
 			})
 		}
 		w.after(d, func() {
-			w.ask(w.pickNode(), j, core.OpSubmit, 5*time.Second, func(status int, a core.AnswerUser) { w.repeated(j, status, a) })
+			w.request(core.OpSubmit, j, j.spec.ID, 5*time.Second, func(status int, a core.AnswerUser) { w.repeated(j, status, a) })
 		})
 	}
 	if during && !j.wants && w.rng.IntN(8) == 0 {
@@ -80,25 +80,13 @@
 	}
 }
 
-// ask is request at one node.
-func (w *world) ask(n *node, j *userJob, op core.UserOp, timeout time.Duration, f func(status int, a core.AnswerUser)) {
-	u := core.UserCall{Op: op, ID: j.spec.ID}
-	if op == core.OpSubmit {
-		s := j.spec
-		u.Spec = &s
-	}
-	w.callAt(n, u, timeout, f)
-}
-
 // repeated takes the answer to a repeated submission of an accepted job.
 func (w *world) repeated(j *userJob, status int, a core.AnswerUser) {
 	switch status {
 	case 200, 201:
 		w.hear(j, a.View)
-	case 400, 404, 422, 429:
-		if j.accepted && w.given.After(j.since) {
-			w.fail("forgotten", "repeated submission of %s gets %d", j.spec.ID, status)
-		}
+	default:
+		w.refused(j, status)
 	}
 }
 
@@ -168,10 +156,10 @@
 	switch k := w.rng.IntN(4); {
 	case k == 0 && len(going) > 0:
 		j := going[w.rng.IntN(len(going))]
-		w.ask(w.pickNode(), j, core.OpSubmit, 5*time.Second, func(status int, a core.AnswerUser) { w.repeated(j, status, a) })
+		w.request(core.OpSubmit, j, j.spec.ID, 5*time.Second, func(status int, a core.AnswerUser) { w.repeated(j, status, a) })
 	case k == 1 && len(over) > 0:
 		j := over[w.rng.IntN(len(over))]
-		w.ask(w.pickNode(), j, core.OpCancel, 5*time.Second, func(status int, a core.AnswerUser) {
+		w.request(core.OpCancel, nil, j.spec.ID, 5*time.Second, func(status int, a core.AnswerUser) {
 			switch status {
 			case 200:
 				w.hear(j, a.View)
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -33,12 +33,17 @@
 }
 
 func (w *world) request(op core.UserOp, j *userJob, id string, timeout time.Duration, f func(status int, a core.AnswerUser)) {
+	w.requestAt(w.pickNode(), op, j, id, timeout, f)
+}
+
+// requestAt is request at one node.
+func (w *world) requestAt(n *node, op core.UserOp, j *userJob, id string, timeout time.Duration, f func(status int, a core.AnswerUser)) {
 	call := core.UserCall{Op: op, ID: id}
 	if op == core.OpSubmit {
 		s := j.spec
 		call.Spec = &s
 	}
-	w.call(call, timeout, f)
+	w.callAt(n, call, timeout, f)
 }
 
 // call makes a user's call through the load balancer.
@@ -115,17 +120,22 @@
 			j.status = status
 			w.after(w.spread(2500*time.Millisecond, 1), func() { w.poll(j) })
 		}
+	case 400, 422:
+		w.refused(j, status)
+		j.status = status
+	default:
+		w.refused(j, status)
+		w.submitAgain(j, a)
+	}
+}
+
+// refused looks at an answer to a submission that is none of an accepted job's.
+func (w *world) refused(j *userJob, status int) {
+	switch status {
 	case 400, 404, 422, 429:
 		if j.accepted && w.given.After(j.since) {
 			w.fail("forgotten", "repeated submission of %s gets %d", j.spec.ID, status)
 		}
-		if status == 429 {
-			w.submitAgain(j, a)
-			return
-		}
-		j.status = status
-	default:
-		w.submitAgain(j, a)
 	}
 }
 
