--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -49,6 +49,7 @@
 // job is a job as its user describes it, and what its tasks have done.
 type job struct {
 	id      string
+	class   string // "": meterread-sweep
 	shards  int
 	cpus    float64
 	memGB   float64
@@ -84,6 +85,9 @@
 	o := object{"id": j.id, "jobclass": "meterread-sweep", "owner": "grid-analytics", "shape": "array", "urgency": "standard", "shards": j.shards,
 		"vcpus": j.cpus, "gpus": 0.0, "memGb": j.memGB, "bundle": j.image, "sizeGb": j.imageGB, "flavors": nil, "hall": nil, "samePlace": false,
 		"apart": false, "reclaimable": j.spot, "runtimeS": j.run.Seconds(), "snapshotEveryS": 0.0, "snapshotS": 0.0, "dueS": nil}
+	if j.class != "" {
+		o["jobclass"] = j.class
+	}
 	if j.service {
 		o["shape"], o["runtimeS"] = "service", 0.0
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -39,6 +39,7 @@
 	lastToken              time.Time            // when a higher token last counted as a change
 	wake                   chan struct{}        // something has changed
 	sickUntil              time.Time            // until then every task that starts fails
+	takenAt                time.Time            // announced time at which the cloud takes the machine away
 }
 
 // task is one attempt of a task on a machine.
@@ -60,6 +61,8 @@
 		defer m.mu.Unlock()
 		if m.alive() {
 			w.Write(m.report())
+		} else {
+			panic(http.ErrAbortHandler)
 		}
 	})
 	m.address = c.serve(mux)
@@ -87,6 +90,24 @@
 	return true
 }
 
+// takeBack takes a spot machine away, after a notice unless that is 0.
+func (m *worker) takeBack(notice time.Duration) {
+	m.c.rec.add("cloud: takes %s away, notice %s", m.host, notice)
+	if notice == 0 {
+		m.terminate()
+		return
+	}
+	m.mu.Lock()
+	m.takenAt = time.Now().Add(notice)
+	m.changed()
+	m.mu.Unlock()
+	time.AfterFunc(notice, func() {
+		if m.terminate() {
+			m.c.rec.add("cloud: %s is taken", m.host)
+		}
+	})
+}
+
 func (m *worker) boot() {
 	m.mu.Lock()
 	if !m.gone.IsZero() {
@@ -176,8 +197,12 @@
 		}
 		shards = append(shards, o)
 	}
+	var warning any
+	if !m.takenAt.IsZero() {
+		warning = time.Until(m.takenAt).Seconds()
+	}
 	return encode(object{"host": m.host, "address": m.address, "flavor": m.typ.name, "hall": m.offer.hall, "reclaimable": m.offer.spot,
-		"tenure": m.tenure, "counter": m.counter, "epoch": m.epoch, "warningS": nil, "shards": shards})
+		"tenure": m.tenure, "counter": m.counter, "epoch": m.epoch, "warningS": warning, "shards": shards})
 }
 
 type orders []struct {
@@ -250,7 +275,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.alive() {
-		return
+		panic(http.ErrAbortHandler) // a machine that is gone answers nothing
 	}
 	if *q.Epoch < m.epoch || *q.Tenure != m.tenure {
 		w.WriteHeader(http.StatusConflict)
