--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -135,13 +135,24 @@
 	return http.StatusOK, object{"hosts": hosts}
 }
 
-// list answers with the machines as they were listLag ago.
+// startWith adds a machine that was rented some time before the case and is up.
+func (cl *cloud) startWith(o offer, age time.Duration) *worker {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.capacity[o]--
+	m := newWorker(cl.c, fmt.Sprintf("host-%06d", 1+len(cl.machines)), cl.find(o.flavor), o)
+	m.created = time.Now().Add(-age)
+	cl.machines = append(cl.machines, m)
+	return m
+}
+
+// list answers with the machines as they were some seconds ago.
 func (cl *cloud) list(r *http.Request) (int, any) {
 	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
 	if err != nil || limit < 1 || limit > 500 {
 		limit = 500
 	}
-	at := time.Now().Add(-listLag)
+	at := time.Now().Add(-cl.c.site.listLag)
 	hosts, more := []object{}, false
 	for _, m := range cl.machines {
 		created, booted, gone := m.times()
@@ -153,7 +164,7 @@
 			break
 		}
 		state := "starting"
-		if !booted.IsZero() && booted.Before(at) {
+		if !booted.IsZero() && (booted.Before(at) || created.Before(at.Add(-time.Minute))) {
 			state = "running"
 		}
 		hosts = append(hosts, object{"id": m.host, "address": m.address, "flavor": m.typ.name, "hall": m.offer.hall, "reclaimable": m.offer.spot,
@@ -161,5 +172,3 @@
 	}
 	return http.StatusOK, object{"hosts": hosts, "truncated": more}
 }
-
-const listLag = 3 * time.Second
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 
 // cluster is a small deployment on loopback addresses.
 type cluster struct {
+	site    *site
 	rec     *recorder
 	dir     string
 	trouble bool
@@ -30,11 +32,13 @@
 	cloud *cloud
 	links map[[2]string]*link // between controllers, by from and to
 
-	mu          sync.Mutex
-	jobs        map[string]*job
-	onTask      func(m *worker, t *task)
-	listeners   []net.Listener
-	descriptors []*os.File
+	mu     sync.Mutex
+	jobs   map[string]*job
+	onTask func(m *worker, t *task)
+
+	beforeLaunch func() // called before the controllers start, unless nil
+	listeners    []net.Listener
+	descriptors  []*os.File
 }
 
 // controller is a process of the real program.
@@ -49,7 +53,6 @@
 // job is a job as its user describes it, and what its tasks have done.
 type job struct {
 	id      string
-	class   string // "": meterread-sweep
 	shards  int
 	cpus    float64
 	memGB   float64
@@ -60,6 +63,9 @@
 	spot    bool
 	hall    string
 	flavors []string
+	class   string        // "": meterread-sweep
+	owner   string        // "": grid-analytics
+	guess   time.Duration // the owner's estimate; 0: run
 
 	mu   sync.Mutex
 	done map[string]bool
@@ -82,12 +88,9 @@
 
 // body is the submission of the job.
 func (j *job) body() []byte {
-	o := object{"id": j.id, "jobclass": "meterread-sweep", "owner": "grid-analytics", "shape": "array", "urgency": "standard", "shards": j.shards,
+	o := object{"id": j.id, "jobclass": cmp.Or(j.class, "meterread-sweep"), "owner": cmp.Or(j.owner, "grid-analytics"), "shape": "array", "urgency": "standard", "shards": j.shards,
 		"vcpus": j.cpus, "gpus": 0.0, "memGb": j.memGB, "bundle": j.image, "sizeGb": j.imageGB, "flavors": nil, "hall": nil, "samePlace": false,
-		"apart": false, "reclaimable": j.spot, "runtimeS": j.run.Seconds(), "snapshotEveryS": 0.0, "snapshotS": 0.0, "dueS": nil}
-	if j.class != "" {
-		o["jobclass"] = j.class
-	}
+		"apart": false, "reclaimable": j.spot, "runtimeS": cmp.Or(j.guess, j.run).Seconds(), "snapshotEveryS": 0.0, "snapshotS": 0.0, "dueS": nil}
 	if j.service {
 		o["shape"], o["runtimeS"] = "service", 0.0
 	}
@@ -171,14 +174,14 @@
 
 // start starts the stand-ins and three controllers, and waits for a leader.
 func (c *cluster) start(slowShare float64, types []*machineType, capacity map[offer]int) {
-	c.store = newStore(c.rec)
+	c.store = newStore(c.site, c.rec)
 	c.store.slowShare = slowShare
 	go c.store.expireLeases(c.done)
 	c.cloud = newCloud(c, types, capacity)
 	stateAddr, cloudAddr := c.serve(c.store), c.serve(c.cloud)
 	free := freeAddresses(6)
 	for i := range 3 {
-		c.nodes = append(c.nodes, &controller{name: fmt.Sprintf("hostbox-%d", i), site: []string{"sofia-north", "sofia-south"}[i%2], client: free[2*i], peer: free[2*i+1]})
+		c.nodes = append(c.nodes, &controller{name: fmt.Sprintf("hostbox-%d", i), site: c.site.halls[i%2], client: free[2*i], peer: free[2*i+1]})
 	}
 	c.links = map[[2]string]*link{}
 	for _, n := range c.nodes {
@@ -187,6 +190,9 @@
 			fail("%v", err)
 		}
 	}
+	if c.beforeLaunch != nil {
+		c.beforeLaunch()
+	}
 	for _, n := range c.nodes {
 		c.launch(n)
 	}
@@ -207,20 +213,15 @@
 		}
 	}
 	fmt.Fprintf(&b, "[external]\ncloud = %q\nstate = %q\n", cloudAddr, stateAddr)
-	b.WriteString(`[settings]
-nodes = 3
-zones = ["plovdiv", "sofia-north", "sofia-south", "varna"]
-skew_ms = 5.0
-[[settings.teams]]
-name = "grid-analytics"
-cpus = 0.0
-cpus_max = 0.0
-gpus = 0.0
-gpus_max = 0.0
-`)
-	fmt.Fprintf(&b, "[settings.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = %g\n", reportInterval.Seconds(), workerLease.Seconds(), cancelTime.Seconds())
-	fmt.Fprintf(&b, "[settings.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = %d.0\ntxn_ops = %d\n", storeRPS, storeWriteRPS, storeValueKB, storeTxnOps)
-	fmt.Fprintf(&b, "[settings.cloud]\nrps = 6.0\nlist_lag_s = %g\n[settings.machine_limits]\ncpu_share = 0.096\nmem_mb = 98.0\nmax_connections = 800\n", listLag.Seconds())
+	st := c.site
+	fmt.Fprintf(&b, "[settings]\nnodes = 3\nzones = [\"%s\"]\nskew_ms = 5.0\n", strings.Join(st.zones, `", "`))
+	for _, t := range st.teams {
+		fmt.Fprintf(&b, "[[settings.teams]]\nname = %q\ncpus = %g\ncpus_max = %g\ngpus = 0.0\ngpus_max = 0.0\n", t.name, t.cpus, t.cpusMax)
+	}
+	fmt.Fprintf(&b, "[settings.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = %g\n", st.report.Seconds(), st.lease.Seconds(), st.cancel.Seconds())
+	fmt.Fprintf(&b, "[settings.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = %d.0\ntxn_ops = %d\n", st.rps, st.writeRPS, st.valueKB, st.txnOps)
+	fmt.Fprintf(&b, "[settings.cloud]\nrps = %g\nlist_lag_s = %g\n", st.cloudRPS, st.listLag.Seconds())
+	fmt.Fprintf(&b, "[settings.machine_limits]\ncpu_share = %g\nmem_mb = %g\nmax_connections = %d\n", st.cpuShare, st.memMB, st.connections)
 	return b.Bytes()
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -47,7 +47,7 @@
 		return cannotRun
 	}
 	defer os.RemoveAll(dir)
-	c := &cluster{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", done: make(chan struct{})}
+	c := &cluster{site: voltaris, rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", done: make(chan struct{})}
 	defer c.stop()
 	result := make(chan int, 1)
 	go func() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -14,14 +14,6 @@
 	"time"
 )
 
-// Limits of the state service, those of the settings.
-const (
-	storeRPS      = 250.0
-	storeWriteRPS = 100.0
-	storeValueKB  = 16
-	storeTxnOps   = 48
-)
-
 type object = map[string]any
 
 func encode(v any) []byte {
@@ -35,6 +27,7 @@
 // store is the state service: strongly consistent, every request takes effect at one instant
 // between its arrival and its answer.
 type store struct {
+	site      *site
 	rec       *recorder
 	slowShare float64 // share of the requests that take a few hundred milliseconds
 
@@ -68,10 +61,10 @@
 	rev   uint64
 }
 
-func newStore(rec *recorder) *store {
+func newStore(st *site, rec *recorder) *store {
 	s := &store{
-		rec: rec, keys: map[string]*storedKey{}, leases: map[uint64]*storedLease{}, changed: make(chan struct{}),
-		tokens: storeRPS, wrote: storeWriteRPS, refilledAt: time.Now(),
+		site: st, rec: rec, keys: map[string]*storedKey{}, leases: map[uint64]*storedLease{}, changed: make(chan struct{}),
+		tokens: st.rps, wrote: st.writeRPS, refilledAt: time.Now(),
 	}
 	return s
 }
@@ -122,7 +115,7 @@
 	now := time.Now()
 	d := now.Sub(s.refilledAt).Seconds()
 	s.refilledAt = now
-	s.tokens, s.wrote = min(storeRPS, s.tokens+d*storeRPS), min(storeWriteRPS, s.wrote+d*storeWriteRPS)
+	s.tokens, s.wrote = min(s.site.rps, s.tokens+d*s.site.rps), min(s.site.writeRPS, s.wrote+d*s.site.writeRPS)
 	if s.tokens < 1 || s.wrote < float64(writes) {
 		s.refused++
 		return false
@@ -252,11 +245,11 @@
 			Drop  string          `json:"drop"`
 		} `json:"then"`
 	}
-	if json.Unmarshal(body, &t) != nil || len(body) > 64<<10 || len(t.Then) > storeTxnOps || len(t.When) > 4*storeTxnOps {
+	if json.Unmarshal(body, &t) != nil || len(body) > 64<<10 || len(t.Then) > s.site.txnOps || len(t.When) > 4*s.site.txnOps {
 		return http.StatusBadRequest, object{"error": "malformed"}
 	}
 	for _, w := range t.Then {
-		if len(w.V) > storeValueKB<<10 {
+		if len(w.V) > s.site.valueKB<<10 {
 			return http.StatusBadRequest, object{"error": "value too large"}
 		}
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -13,13 +13,6 @@
 	"time"
 )
 
-// Times of the worker protocol, those of the settings.
-const (
-	reportInterval = 3 * time.Second
-	workerLease    = 20 * time.Second
-	cancelTime     = 40 * time.Second
-)
-
 // worker is a machine and the worker on it, as the protocol describes them.
 type worker struct {
 	c       *cluster
@@ -115,7 +108,7 @@
 			m.mu.Unlock()
 			return
 		}
-		if time.Since(m.lastAnswered) > workerLease {
+		if time.Since(m.lastAnswered) > m.c.site.lease {
 			m.c.rec.add("%s: lease expired, %d tasks forgotten", m.host, len(m.tasks))
 			m.tenure++
 			m.tasks, m.lastAnswered = nil, time.Now()
@@ -149,7 +142,7 @@
 		m.mu.Unlock()
 		wait := m.send(node, body, sent, tenure)
 		if wait == 0 {
-			next := time.Duration((0.75 + 0.5*rand.Float64()) * float64(reportInterval))
+			next := time.Duration((0.75 + 0.5*rand.Float64()) * float64(m.c.site.report))
 			select {
 			case <-time.After(time.Until(sent.Add(next))):
 			case <-m.wake:
@@ -233,7 +226,7 @@
 func (m *worker) sawToken(epoch uint64) {
 	if epoch > m.epoch {
 		m.epoch = epoch
-		if time.Since(m.lastToken) > workerLease/2 {
+		if time.Since(m.lastToken) > m.c.site.lease/2 {
 			m.lastToken = time.Now()
 			m.changed()
 		}
