--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -32,9 +32,8 @@
 	cloud *cloud
 	links map[[2]string]*link // between controllers, by from and to
 
-	mu     sync.Mutex
-	jobs   map[string]*job
-	onTask func(m *worker, t *task)
+	mu   sync.Mutex
+	jobs map[string]*job
 
 	beforeLaunch func() // called before the controllers start, unless nil
 	listeners    []net.Listener
@@ -119,15 +118,6 @@
 	return c.jobs[id]
 }
 
-func (c *cluster) taskChanged(m *worker, t *task) {
-	c.mu.Lock()
-	f := c.onTask
-	c.mu.Unlock()
-	if f != nil {
-		f(m, t)
-	}
-}
-
 func (c *cluster) listen() net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -41,7 +41,6 @@
 	tokens, wrote float64       // of the rate limits
 	refilledAt    time.Time
 	refused       int
-	onChange      func(key string, value json.RawMessage) // called with the lock held
 }
 
 type storedKey struct {
@@ -105,9 +104,6 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if s.onChange != nil {
-		s.onChange(c.key, c.value)
-	}
 }
 
 // allow counts a request with a number of writes against the limits.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -275,7 +275,6 @@
 func (m *worker) exit(t *task, cause string) {
 	t.status, t.cause = "exited", cause
 	m.c.rec.add("%s: %s try %d exited, %s", m.host, t.shard, t.try, cause)
-	m.c.taskChanged(m, t)
 	m.changed()
 }
 
@@ -325,7 +324,6 @@
 func (m *worker) run(t *task) {
 	t.status = "running"
 	m.c.rec.add("%s: %s try %d runs", m.host, t.shard, t.try)
-	m.c.taskChanged(m, t)
 	m.changed()
 	switch {
 	case time.Now().Before(m.sickUntil):
