A job that has ended is not added again by a late read

Cause: the leader adopts such a job by reading its live record, from the watch of the markers and for every request about a job that is not in memory, so several reads of one job are in flight. A read that is answered late, after another one has added the job and the job has been cancelled and recorded as ended, found it missing from memory and added it again, with the record as it had been before, and published that record to the replicas.

Change: writebatch.Batcher.Read reads a key and sends the read again if a write of that key was committed while it was in flight. ReadBack and the adoption of jobs go through it. The check needs no clock, cache or bound: it holds whatever the delay and however many jobs have ended since.

TestLateReadOfEndedJob failed before ("cancelled job was added again").

--- a/internal/admission/admitter_test.go
+++ b/internal/admission/admitter_test.go
@@ -371,3 +371,50 @@
 		t.Errorf("request %+v after a change, want a list", call)
 	}
 }
+
+// commit flushes the queued writes and responds to each transaction that it has been committed.
+func (l *leader) commit(rev uint64) {
+	l.t.Helper()
+	l.Writes.Flush()
+	for _, call := range takeOutputs[kv.Request](l) {
+		if call.Op != kv.Txn {
+			l.t.Fatalf("request to the store %+v, want only transactions", call)
+		}
+		l.engine.HandleStore(kv.Response{Ref: call.Ref, Outcome: rpc.OK, Rev: rev})
+	}
+}
+
+// TestLateReadOfEndedJob guards against a cancelled job that is queued again: of two reads of its
+// live record, one adds the job, and the response to the other, as old, arrives once the job has
+// ended.
+func TestLateReadOfEndedJob(t *testing.T) {
+	l := watchMarker(t, markerKey)
+	l.AdoptLeaderless(markerKey)
+	reads := takeOutputs[kv.Request](l)
+	if len(reads) != 2 || reads[0].Key != liveKey || reads[1].Key != liveKey {
+		t.Fatalf("requests to the store %+v, want two reads of the live record", reads)
+	}
+	before := kv.Response{Outcome: rpc.OK, Rev: 60, Entries: []kv.Entry{{Key: liveKey, Value: liveRecord(), Rev: 60}}}
+	before.Ref = reads[0].Ref
+	l.engine.HandleStore(before)
+	job := l.Lifecycle.Jobs["wk-1"]
+	if job == nil {
+		t.Fatal("job was not adopted")
+	}
+	l.Lifecycle.Cancel(job, request.Request{Ref: 1, Op: request.Cancel, ID: "wk-1"})
+	l.commit(61) // the cancellation
+	l.wantStatuses(200)
+	l.commit(62) // the final record
+	if l.Lifecycle.Jobs["wk-1"] != nil {
+		t.Fatal("cancelled job has not ended")
+	}
+	before.Ref = reads[1].Ref
+	l.engine.HandleStore(before)
+	if l.Lifecycle.Jobs["wk-1"] != nil {
+		t.Error("cancelled job was added again")
+	}
+	l.reply(kv.Response{Outcome: rpc.NotFound}) // to the read that is sent again
+	if l.Lifecycle.Jobs["wk-1"] != nil {
+		t.Error("cancelled job was added again")
+	}
+}
--- a/internal/admission/records.go
+++ b/internal/admission/records.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"log/slog"
 	"strings"
 	"time"
 
@@ -46,9 +47,11 @@
 }
 
 // adopt reads the live record of a job that is not in memory and adds the job. It calls onAdopted
-// if the job is in memory afterwards, otherwise onFailure.
+// if the job is in memory afterwards, otherwise onFailure. Several reads of one job may be in
+// flight, and the job may end before the last of them is answered: Writes.Read does not return the
+// record that the job had before.
 func (a *Admitter) adopt(id string, onAdopted, onFailure func()) {
-	a.scope.CallStore(kv.Request{Op: kv.Get, Key: record.JobPrefix + id}, func(reply kv.Response) {
+	a.Writes.Read(record.JobPrefix+id, func(reply kv.Response) {
 		if reply.Outcome != rpc.OK {
 			onFailure()
 			return
@@ -57,6 +60,7 @@
 		if rec, _ := reply.Entries[0].Value.(*record.Job); rec != nil && a.Lifecycle.Jobs[id] == nil {
 			s := a.pending[id]
 			delete(a.pending, id)
+			a.engine.Log(slog.LevelDebug, "job adopted", "job", id, "revision", reply.Entries[0].Rev)
 			j := a.Lifecycle.Add(rec, false)
 			a.Lifecycle.Queue(j)
 			if s != nil { // another controller wrote the record; no callback answers the waiters
@@ -110,10 +114,24 @@
 		deleteMarker()
 		return
 	}
-	a.adopt(id, deleteMarker, func() {
+	a.adoptUnlessEnded(id, deleteMarker, func() {})
+}
+
+// adoptUnlessEnded adopts a job that is not in memory. It calls done if the job is in memory
+// afterwards, has ended or was never recorded, and onUnknown if its state cannot be read.
+func (a *Admitter) adoptUnlessEnded(id string, done, onUnknown func()) {
+	if a.Lifecycle.Jobs[id] != nil {
+		done()
+		return
+	}
+	a.adopt(id, done, func() {
 		a.Lifecycle.Store.Read(id, func(status *request.JobStatus, known bool) {
-			if !a.scope.Closed() && known && (status == nil || status.State.Final()) {
-				deleteMarker() // the job has ended or was never recorded
+			switch {
+			case a.scope.Closed():
+			case known && (status == nil || status.State.Final()):
+				done()
+			default:
+				onUnknown()
 			}
 		})
 	})
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -163,7 +163,9 @@
 func (m *Manager) onFinalCommitted(j *fleet.Job, final record.Final) {
 	id := j.Spec.ID
 	m.Store.CacheFinal(id, final)
-	m.Replicas.PublishDelete(record.JobPrefix + id) // another leader may have written the final record
+	// Another leader may have written the final record.
+	m.Writes.MarkWritten(record.JobPrefix + id)
+	m.Replicas.PublishDelete(record.JobPrefix + id)
 	delete(m.Jobs, id)
 	j.Team.JobCount--
 	m.Placement.DropReservations(j)
--- a/internal/writebatch/send.go
+++ b/internal/writebatch/send.go
@@ -108,6 +108,7 @@
 	switch r.Outcome {
 	case rpc.OK:
 		b.backoff = 0
+		b.markBatchWritten(batch)
 		b.leader.ReplicateBatch(batch, r.Rev)
 		for _, ch := range batch {
 			if ch.OnCommit != nil {
--- a/internal/writebatch/writebatch.go
+++ b/internal/writebatch/writebatch.go
@@ -69,6 +69,7 @@
 type Batcher struct {
 	limits
 	queue
+	readTracker
 	engine        *engine.Engine
 	scope         *engine.Scope
 	leader        Leader
@@ -87,6 +88,7 @@
 	return &Batcher{
 		limits:        newLimits(st),
 		queue:         queue{keysInFlight: map[string]bool{}},
+		readTracker:   readTracker{readsInFlight: map[string][]*read{}},
 		engine:        eng,
 		scope:         scope,
 		leader:        leader,
@@ -120,10 +122,10 @@
 	return false
 }
 
-// ReadBack reads the entry of key, replicates it and passes it to f. found is false if the entry
-// does not exist. ReadBack retries until the store responds.
+// ReadBack reads the entry of key like Read, replicates it and passes it to f. found is false if
+// the entry does not exist. ReadBack retries until the store responds.
 func (b *Batcher) ReadBack(key string, f func(e kv.Entry, found bool)) {
-	b.scope.CallStore(kv.Request{Op: kv.Get, Key: key}, func(r kv.Response) {
+	b.Read(key, func(r kv.Response) {
 		switch r.Outcome {
 		case rpc.OK:
 			b.leader.Replicate(r.Entries[0])
