An occurrence's job that has ended is not added again when its write is read back

The job was added with the record as it had been written, so a cancelled job was called queued and ran.

Change: a write that is found to have been applied earlier adopts its job in its present state, and an occurrence whose job has ended by then gets its end recorded in the history.

TestLostResponseOfEndedJob failed before ("jobs map[wk-...], want none").

--- a/internal/admission/records.go
+++ b/internal/admission/records.go
@@ -117,6 +117,14 @@
 	a.adoptUnlessEnded(id, deleteMarker, func() {})
 }
 
+// AdoptCommitted adds a job whose record was committed earlier, in its present state, and calls done
+// once the job is in memory or is known to have ended. It retries until the store responds.
+func (a *Admitter) AdoptCommitted(id string, done func()) {
+	a.adoptUnlessEnded(id, done, func() {
+		a.scope.After(a.engine.Jitter(conflictRetryDelay), func() { a.AdoptCommitted(id, done) })
+	})
+}
+
 // adoptUnlessEnded adopts a job that is not in memory. It calls done if the job is in memory
 // afterwards, has ended or was never recorded, and onUnknown if its state cannot be read.
 func (a *Admitter) adoptUnlessEnded(id string, done, onUnknown func()) {
--- a/internal/core/recurring.go
+++ b/internal/core/recurring.go
@@ -60,6 +60,11 @@
 // AddJob implements recurring.Leader.
 func (r recurringLeader) AddJob(rec *record.Job) { r.core.leadership.admitter.AddCommitted(rec) }
 
+// AdoptJob implements recurring.Leader.
+func (r recurringLeader) AdoptJob(id string, f func()) {
+	r.core.leadership.admitter.AdoptCommitted(id, f)
+}
+
 // CatalogLoaded implements recurring.Leader.
 func (r recurringLeader) CatalogLoaded() bool { return r.core.leadership.autoscaler.CatalogLoaded }
 
--- a/internal/recurring/decide.go
+++ b/internal/recurring/decide.go
@@ -95,10 +95,11 @@
 			if late := s.engine.WallClock().Sub(occurrence.Start); late > schedule.OnTimeTolerance {
 				s.engine.Log(slog.LevelWarn, "occurrence submitted late", "schedule", sched.name, "planned", occurrence.Start, "job", id, "late", late)
 			}
-			if s.leader.Job(id) == nil { // otherwise a user has submitted a job with this ID
-				s.leader.AddJob(rec)
-			}
 			live := s.leader.Job(id)
+			if live == nil { // it has ended before the write was known to be committed
+				s.resolveEnded(unresolvedOccurrence{sched: sched, jobID: id})
+				return
+			}
 			s.byJob[live] = sched
 			s.watchDeadline(sched, live, occurrence.Deadline)
 		},
--- a/internal/recurring/helpers_test.go
+++ b/internal/recurring/helpers_test.go
@@ -185,7 +185,21 @@
 
 func (l *fakeLeader) FinalState(string) (spec.JobState, bool) { return "", false }
 
-func (l *fakeLeader) ReadJob(id string, f func(status *request.JobStatus, known bool)) { f(nil, true) }
+func (l *fakeLeader) ReadJob(id string, f func(status *request.JobStatus, known bool)) {
+	if final, _ := l.stored[record.FinalPrefix+id].Value.(*record.Final); final != nil {
+		f(&request.JobStatus{ID: id, State: final.State}, true)
+		return
+	}
+	f(nil, true)
+}
+
+func (l *fakeLeader) AdoptJob(id string, f func()) {
+	l.Helper()
+	if rec, _ := l.stored[record.JobPrefix+id].Value.(*record.Job); rec != nil && l.jobs[id] == nil {
+		l.AddJob(rec)
+	}
+	f()
+}
 
 func (l *fakeLeader) AddJob(rec *record.Job) {
 	l.Helper()
--- a/internal/recurring/leader.go
+++ b/internal/recurring/leader.go
@@ -30,6 +30,9 @@
 	ReadJob(id string, f func(status *request.JobStatus, known bool))
 	// AddJob starts to schedule a job whose record has just been committed.
 	AddJob(rec *record.Job)
+	// AdoptJob makes sure that a job whose record was committed earlier is in memory in its present
+	// state, unless it has ended, and then calls f.
+	AdoptJob(id string, f func())
 }
 
 // Admission decides which jobs the cluster accepts.
--- a/internal/recurring/load.go
+++ b/internal/recurring/load.go
@@ -107,7 +107,7 @@
 		}
 		if known {
 			s.unresolved = slices.Delete(s.unresolved, 0, 1)
-			if status != nil && (status.State == spec.Done || status.State == spec.Cancelled) {
+			if status != nil && status.State.Final() {
 				s.resolve(next, status.State)
 			}
 		}
@@ -115,6 +115,19 @@
 	})
 }
 
+// resolveEnded reads and records the final state of the job of an occurrence that has ended.
+func (s *Scheduler) resolveEnded(occurrence unresolvedOccurrence) {
+	s.leader.ReadJob(occurrence.jobID, func(status *request.JobStatus, known bool) {
+		switch {
+		case s.scope.Closed():
+		case !known:
+			s.scope.After(s.engine.Jitter(loadRetryDelay), func() { s.resolveEnded(occurrence) })
+		case status != nil && status.State.Final():
+			s.resolve(occurrence, status.State)
+		}
+	})
+}
+
 // resolve records the final state of an unresolved occurrence.
 func (s *Scheduler) resolve(occurrence unresolvedOccurrence, state spec.JobState) {
 	at := s.engine.WallClock()
--- a/internal/recurring/occurrences_test.go
+++ b/internal/recurring/occurrences_test.go
@@ -92,6 +92,32 @@
 	}
 }
 
+// TestLostResponseOfEndedJob guards against an occurrence whose cancelled job is queued again: the
+// response to its write was lost, and the job was adopted, cancelled and ended before the write was
+// read back.
+func TestLostResponseOfEndedJob(t *testing.T) {
+	l := newDueLeader(t)
+	l.scheduler.CreateDue(12)
+	change := l.takeWrite()
+	if !l.apply(change) {
+		t.Fatal("apply() = false, want the conditions to be met")
+	}
+	delete(l.stored, record.JobPrefix+occurrenceID)
+	l.store(record.FinalPrefix+occurrenceID, &record.Final{State: spec.Cancelled})
+	change.OnConflict() // response to the second attempt
+	if len(l.jobs) > 0 {
+		t.Errorf("jobs %v, want none: the only one has ended", l.jobs)
+	}
+	if got := l.scheduler.Stats().OccurrencesCreated; got != 1 {
+		t.Errorf("%d occurrences created, want 1", got)
+	}
+	l.advance(3 * time.Second)
+	l.commit() // the history
+	if got := l.history(); !slices.Equal(got, []string{schedule.StateCancelled}) {
+		t.Errorf("history %v, want one cancelled occurrence", got)
+	}
+}
+
 // TestJobIDInUse checks that an occurrence is recorded as failed if another job has its ID.
 func TestJobIDInUse(t *testing.T) {
 	l := newDueLeader(t)
--- a/internal/recurring/write.go
+++ b/internal/recurring/write.go
@@ -47,7 +47,7 @@
 		change.Conditions = append(change.Conditions, record.JobAbsent(id)...)
 		change.Writes = append(change.Writes, kv.Write{Key: record.JobPrefix + id, Value: rc.job})
 	}
-	change.OnCommit = func(revision uint64) {
+	finish := func(revision uint64) {
 		// History changes since the write was prepared exist only in memory; keep them for
 		// the next write. The written value is shared and must not be modified.
 		rec := rec.Clone()
@@ -55,7 +55,22 @@
 		sched.record, sched.revision = rec, revision
 		s.finishWrite(sched, rc.onCommit)
 	}
-	change.OnConflict = func() { s.resolveConflict(sched, change, rec.Seq, rc.onIDTaken) }
+	change.OnCommit = func(revision uint64) {
+		if rc.job != nil && s.leader.Job(rc.job.Spec.ID) == nil { // otherwise a user's request has added it
+			s.leader.AddJob(rc.job)
+		}
+		finish(revision)
+	}
+	// An earlier attempt of the write was applied, at a time that is not known. Its job may have
+	// been adopted, and may even have ended, since then.
+	applied := func(revision uint64) {
+		if rc.job == nil {
+			finish(revision)
+			return
+		}
+		s.leader.AdoptJob(rc.job.Spec.ID, func() { finish(revision) })
+	}
+	change.OnConflict = func() { s.resolveConflict(sched, change, rec.Seq, applied, rc.onIDTaken) }
 	change.OnReject = func() {
 		sched.definition, sched.disabledReason = nil, "the state service rejected its record"
 		s.reply(sched, request.Unavailable(sched.disabledReason))
@@ -65,15 +80,15 @@
 
 // resolveConflict handles a failed condition. Only the leader writes the record, so either
 // an earlier attempt of the same change was applied, or the job's ID is already in use, or
-// the record was removed or restored.
-func (s *Scheduler) resolveConflict(sched *scheduleState, change *writebatch.Change, seq uint64, onIDTaken func()) {
+// the record was removed or restored. It calls applied in the first case and onIDTaken in the second.
+func (s *Scheduler) resolveConflict(sched *scheduleState, change *writebatch.Change, seq uint64, applied func(revision uint64), onIDTaken func()) {
 	s.readRecord(sched, func(found *schedule.Record, revision uint64) {
 		switch {
 		case found == nil:
 			s.reply(sched, notFound(sched.name))
 			s.removeFromMemory(sched)
 		case found.Seq == seq:
-			change.OnCommit(revision)
+			applied(revision)
 		case revision != sched.revision:
 			sched.revision = revision
 			change.Conditions[0].Rev = revision
