configmanager: a late read of the head record does not bring back an older configuration

If a change was committed before the answer arrived, the answer was taken for an unexpected revision, and all records were reloaded under the older revision; a change committed during a reload was overwritten by what had been read.

Change: the head record is read through writebatch.Batcher.Read, and a reload whose state has changed meanwhile is discarded and starts over from the head record.

TestLateHeadRead and TestChangeDuringReload fail before.

--- a/internal/configmanager/confirm.go
+++ b/internal/configmanager/confirm.go
@@ -47,7 +47,7 @@
 		return
 	}
 	m.rereading = true
-	m.scope.CallStore(kv.Request{Op: kv.Get, Key: record.ConfigHeadKey}, func(r kv.Response) {
+	m.writes.Read(record.ConfigHeadKey, func(r kv.Response) {
 		m.rereading = false
 		if r.Outcome != rpc.OK && r.Outcome != rpc.NotFound {
 			return // the next renewal fails again and retries
--- a/internal/configmanager/load.go
+++ b/internal/configmanager/load.go
@@ -66,10 +66,15 @@
 }
 
 // reload replaces the state with the records in the key-value store. revision and
-// headRevision are as for reconcile.
+// headRevision are as for reconcile. If the state has changed when the records have been read, they
+// may be older than it, and reload reads the head record again instead.
 func (m *Manager) reload(revision, headRevision uint64) {
-	state := baseState(m.cfg)
+	state, before := baseState(m.cfg), m.headRevision
 	m.reloadPage("", state, func() {
+		if m.headRevision != before {
+			m.rereadHead(func() {})
+			return
+		}
 		state.LoadHead(liveconfig.HeadRecord{Revision: revision})
 		m.state, m.headRevision = state, headRevision
 		m.leader.ApplyTeams(state.Teams(state.Names()))
--- a/internal/core/configuration_test.go
+++ b/internal/core/configuration_test.go
@@ -146,6 +146,72 @@
 	}
 }
 
+// TestLateHeadRead guards against a configuration that goes back: the head record is read, a change
+// is committed, and the response to the read, as old as the read, arrives after that.
+func TestLateHeadRead(t *testing.T) {
+	c := newLeader(t, 3)
+	_, txn := setTeam(c, 1, liveconfig.Team{Name: "t", CPUsMax: 7})
+	if txn == nil {
+		t.Fatal("the change is not written")
+	}
+	c.Now = c.Now.Add(time.Millisecond)
+	c.leadership.config.HandleConflict(0, func() {})
+	read := headRead(t, c)
+	c.Step(c.Now, kv.Response{Ref: txn.Ref, Outcome: rpc.OK, Rev: 40})
+	c.Step(c.Now, kv.Response{Ref: read.Ref, Outcome: rpc.NotFound})
+	reread := headRead(t, c)
+	c.Step(c.Now, kv.Response{Ref: reread.Ref, Outcome: rpc.OK, Entries: []kv.Entry{{Key: record.ConfigHeadKey, Value: &liveconfig.HeadRecord{Revision: 1}, Rev: 40}}})
+	for _, o := range c.Outputs {
+		if call, ok := o.(kv.Request); ok && call.Op == kv.List && call.Key == record.ConfigPrefix {
+			t.Error("the configuration is reloaded")
+		}
+	}
+	if c.LocalConfig().Revision != 1 || c.leadership.config.HeadRevision() != 40 || c.leadership.teams["t"].Limit.CPU != 7000 {
+		t.Errorf("revision %d, head revision %d, limit %d, want 1, 40 and 7000", c.LocalConfig().Revision, c.leadership.config.HeadRevision(), c.leadership.teams["t"].Limit.CPU)
+	}
+}
+
+// TestChangeDuringReload guards against a configuration that goes back: a change is committed while
+// the records are being reloaded.
+func TestChangeDuringReload(t *testing.T) {
+	c := newLeader(t, 3)
+	c.Now = c.Now.Add(time.Millisecond)
+	c.leadership.config.HandleConflict(0, func() {})
+	unexpected := kv.Entry{Key: record.ConfigHeadKey, Value: &liveconfig.HeadRecord{Revision: 6}, Rev: 30}
+	outs := c.Step(c.Now, kv.Response{Ref: headRead(t, c).Ref, Outcome: rpc.OK, Entries: []kv.Entry{unexpected}})
+	var list *kv.Request
+	for _, o := range outs {
+		if call, ok := o.(kv.Request); ok && call.Op == kv.List && call.Key == record.ConfigPrefix {
+			list = &call
+		}
+	}
+	if list == nil {
+		t.Fatal("the configuration is not reloaded")
+	}
+	_, txn := setTeam(c, 1, liveconfig.Team{Name: "t", CPUsMax: 7})
+	if txn == nil {
+		t.Fatal("the change is not written")
+	}
+	c.Step(c.Now, kv.Response{Ref: txn.Ref, Outcome: rpc.OK, Rev: 40})
+	c.Step(c.Now, kv.Response{Ref: list.Ref, Outcome: rpc.OK, Entries: []kv.Entry{unexpected}})
+	if c.leadership.config.HeadRevision() != 40 || c.leadership.teams["t"].Limit.CPU != 7000 {
+		t.Errorf("head revision %d, limit %d, want 40 and 7000", c.leadership.config.HeadRevision(), c.leadership.teams["t"].Limit.CPU)
+	}
+	headRead(t, c) // the head record is read again
+}
+
+// headRead returns the read of the configuration's head record in the outputs of the current step.
+func headRead(t *testing.T, c *Core) kv.Request {
+	t.Helper()
+	for _, o := range c.Outputs {
+		if call, ok := o.(kv.Request); ok && call.Op == kv.Get && call.Key == record.ConfigHeadKey {
+			return call
+		}
+	}
+	t.Fatal("the head record is not read")
+	return kv.Request{}
+}
+
 // TestUnreadableTeamRecord checks that a team with an unreadable record keeps its settings and is
 // reported as damaged.
 func TestUnreadableTeamRecord(t *testing.T) {
