replication: older reads and late notes do not replace newer records of a replica

The same cause on related paths. PublishRead published any revision that differed, also an older one. A peer's note about a job that it accepted without a leader added the live record to the replica although the replica had the job's final record.

TestPublishReadKeepsNewerRecord and TestLateLeaderlessJob fail before.

--- a/internal/replication/publisher.go
+++ b/internal/replication/publisher.go
@@ -35,13 +35,13 @@
 }
 
 // PublishRead publishes a record that was read from the store, unless the replica already has
-// that revision.
+// that revision or a later one.
 func (p *Publisher) PublishRead(e kv.Entry) {
 	own := p.Replica()
 	if own == nil || e.Value == nil {
 		return
 	}
-	if rec, ok := own.Get(e.Key); !ok || rec.Rev != e.Rev {
+	if rec, ok := own.Get(e.Key); !ok || rec.Rev < e.Rev {
 		p.publish([]replica.Record{{Key: e.Key, Value: e.Value, Rev: e.Rev}}, nil)
 	}
 }
--- a/internal/replication/replicas.go
+++ b/internal/replication/replicas.go
@@ -129,7 +129,7 @@
 func (rs *Replicas) SendLeaderlessJob(job *record.Job, rev uint64) {
 	rec := replica.Record{Key: record.JobPrefix + job.Spec.ID, Value: job, Rev: rev}
 	if newest := rs.Newest(); newest != nil {
-		newest.Put(rec.Key, rec.Value, rec.Rev)
+		addLeaderlessJob(newest, rec)
 	}
 	term := rs.controller.ConfirmedTerm()
 	for _, seed := range rs.cfg.Seeds {
@@ -138,17 +138,30 @@
 	}
 }
 
+// addLeaderlessJob adds the record of a job that was accepted without a leader to a replica. The
+// leader may have adopted the job since then, and it may even have ended: the replica's own record
+// of the job is newer.
+func addLeaderlessJob(r *replica.Replica, rec replica.Record) {
+	id, isJob := strings.CutPrefix(rec.Key, record.JobPrefix)
+	if !isJob {
+		return
+	}
+	_, live := r.Get(rec.Key)
+	_, ended := r.Get(record.FinalPrefix + id)
+	if !live && !ended {
+		r.Put(rec.Key, rec.Value, rec.Rev)
+	}
+}
+
 // ReceiveLeaderlessJob adds a job that a peer has accepted without a leader to the newest replica,
-// unless that is of another term or already has the job.
+// unless that is of another term.
 func (rs *Replicas) ReceiveLeaderlessJob(line *replica.Line) {
 	newest := rs.Newest()
 	if newest == nil || newest.Term != line.Term {
 		return
 	}
 	for _, rec := range line.Puts {
-		if _, known := newest.Get(rec.Key); !known && strings.HasPrefix(rec.Key, record.JobPrefix) {
-			newest.Put(rec.Key, rec.Value, rec.Rev)
-		}
+		addLeaderlessJob(newest, rec)
 	}
 }
 
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -122,6 +122,41 @@
 	}
 }
 
+// TestPublishReadKeepsNewerRecord checks that a record that was read does not replace a later
+// revision in the replica.
+func TestPublishReadKeepsNewerRecord(t *testing.T) {
+	n := newNode(1)
+	p := NewPublisher(n.replicas, n.engine.NewScope(), 7)
+	n.replicas.SetOwn(n.replicas.NewReplica(9, 7))
+	for _, rev := range []uint64{3, 5, 4} {
+		p.PublishRead(kv.Entry{Key: "a", Value: rev, Rev: rev})
+	}
+	if rec, _ := p.Replica().Get("a"); rec.Rev != 5 || rec.Value != uint64(5) {
+		t.Errorf("record %+v, want revision 5", rec)
+	}
+}
+
+// TestLateLeaderlessJob guards against a replica with a live record of an ended job: a peer's line
+// about a job that it accepted without a leader arrives once the leader has adopted and ended it.
+func TestLateLeaderlessJob(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		ended bool
+	}{{"unknown", false}, {"ended", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newNode(1)
+			n.replicas.SetOwn(n.replicas.NewReplica(9, 7))
+			if test.ended {
+				n.replicas.Own().Put(record.FinalPrefix+"wk-1", &record.Final{}, 5)
+			}
+			n.replicas.ReceiveLeaderlessJob(&replica.Line{Term: 7, Puts: []replica.Record{{Key: record.JobPrefix + "wk-1", Value: &record.Job{}, Rev: 4}}})
+			if _, live := n.replicas.Own().Get(record.JobPrefix + "wk-1"); live == test.ended {
+				t.Errorf("replica has a live record: %v, want %v", live, !test.ended)
+			}
+		})
+	}
+}
+
 // TestScrubber checks that a record missing from the store is reported as a data loss, and that
 // a record that the store has is not.
 func TestScrubber(t *testing.T) {
