A machine on probation and a job that has failed there do not wait for a completion

Cause, two conditions without an end. On probation a machine started a task only if it had no other, until one completed; the task of a service never does. And a job excluded a machine on which it had failed until it had failed on more than two, which a zone with one machine does not have.

Change: beside other tasks, a machine on probation starts one task every 15 s. The probation ends when a task completes, as before, or when one that was started after the failure is reported to have run for 10 s. A job excludes a machine for 30 s after a failure there. Failures count for 10 minutes, since nothing else clears them where nothing completes.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -133,6 +133,9 @@
 	}
 	a.Phase = phase
 	runs := phase == heartbeat.Running || phase == heartbeat.Checkpointing
+	if runs {
+		a.Machine.RecordRunning(a, t.engine.Now)
+	}
 	if a.HoldsResources && a.SetRunning(runs) && runs {
 		t.jobs.TaskStarted(a.Job)
 	}
@@ -153,7 +156,7 @@
 // exit; occupied reports whether it held resources until then.
 func (t *Tracker) onCompleted(a *fleet.Attempt, previous heartbeat.Phase, occupied bool) {
 	m, j := a.Machine, a.Job
-	m.FailureScore, m.OnProbation = 0, false
+	m.RecordCompletion()
 	if j == nil {
 		a.Forgettable = !t.jobs.Unreadable(a.ID.Job)
 		return
@@ -212,16 +215,12 @@
 // recordFailure attributes a failed task to its machine or its job: a machine is quarantined if
 // jobs fail on it that run elsewhere, and a job is delayed if it fails on several machines.
 func (t *Tracker) recordFailure(j *fleet.Job, m *fleet.Machine) {
-	if len(j.FailedOn) <= fleet.MaxFailedMachines { // more entries do not affect placement
-		j.FailedOn[m.Host] = true
-	}
-	j.Failures++
-	m.OnProbation = true
+	j.RecordFailure(m.Host, t.engine.Now)
+	weight := 1
 	if j.AnyCompleted {
-		m.FailureScore += 2
-	} else {
-		m.FailureScore++
+		weight = 2
 	}
+	m.RecordFailure(weight, t.engine.Now)
 	if !j.AnyCompleted && len(j.FailedOn) > 1 {
 		// No task has completed, and several machines have seen failures, so the job is the likely
 		// cause.
--- a/internal/attempts/attempts_test.go
+++ b/internal/attempts/attempts_test.go
@@ -66,7 +66,7 @@
 	e.Now = t0
 	j := &fleet.Job{
 		Spec: spec.Job{ID: "wk-1", Tasks: 4, CPUs: 1, Image: "img", Runtime: time.Minute},
-		Team: &quota.Account{}, Progress: fleet.NewProgress(4), FailureHistory: fleet.FailureHistory{FailedOn: map[string]bool{}},
+		Team: &quota.Account{}, Progress: fleet.NewProgress(4), FailureHistory: fleet.NewFailureHistory(),
 	}
 	j.Need = j.Spec.TaskResources()
 	l := &fakeLeader{jobs: map[string]*fleet.Job{"wk-1": j}, unreadable: map[string]bool{}}
@@ -259,7 +259,7 @@
 		a := f.startTask(m, 1, number)
 		f.Update(a, task(1, number, heartbeat.Exited, heartbeat.CauseError))
 	}
-	if fail(m, 1); m.Quarantined || !m.OnProbation || !f.job.FailedOn["h1"] {
+	if fail(m, 1); m.Quarantined || !m.OnProbation || !f.job.Excludes("h1", t0) {
 		t.Errorf("machine health after one failure: %+v", m.Health)
 	}
 	if fail(m, 2); !m.Quarantined {
@@ -276,3 +276,40 @@
 		t.Errorf("job delayed for %v after failures on two machines, want 4s", f.job.RetryAt.Sub(t0))
 	}
 }
+
+// TestProbationEndsWithoutCompletion guards against a machine that stays on probation for as long as
+// no task on it completes: a task that was started after the failure and keeps running ends it.
+func TestProbationEndsWithoutCompletion(t *testing.T) {
+	f, m := newFixture(t), newMachine("h1")
+	earlier := f.startTask(m, 0, 1)
+	f.engine.Now = f.engine.Now.Add(time.Minute)
+	failed := f.startTask(m, 1, 2)
+	f.Update(failed, task(1, 2, heartbeat.Exited, heartbeat.CauseError))
+	f.engine.Now = f.engine.Now.Add(time.Minute)
+	if f.Update(earlier, task(0, 1, heartbeat.Running, "")); !m.OnProbation {
+		t.Error("probation ended by a task that was started before the failure")
+	}
+	later := f.startTask(m, 2, 3)
+	f.engine.Now = f.engine.Now.Add(9 * time.Second)
+	if f.Update(later, task(2, 3, heartbeat.Running, "")); !m.OnProbation {
+		t.Error("probation ended by a task that has run for 9 s")
+	}
+	f.engine.Now = f.engine.Now.Add(time.Second)
+	if f.Update(later, task(2, 3, heartbeat.Running, "")); m.OnProbation {
+		t.Error("probation not ended by a task that has run for 10 s")
+	}
+}
+
+// TestOldFailuresAreForgotten guards against a machine that is quarantined for failures that lie
+// far apart, if no task on it ever completes.
+func TestOldFailuresAreForgotten(t *testing.T) {
+	f, m := newFixture(t), newMachine("h1")
+	for i := range uint64(quarantineThreshold + 1) {
+		a := f.startTask(m, 1, 1+i)
+		f.Update(a, task(1, 1+i, heartbeat.Exited, heartbeat.CauseError))
+		f.engine.Now = f.engine.Now.Add(time.Hour)
+	}
+	if m.Quarantined {
+		t.Error("machine quarantined for one failure an hour")
+	}
+}
--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -34,7 +34,7 @@
 // It returns false if such a job exists and no request could be sent.
 func (a *Autoscaler) requestForUnplaceableJob() bool {
 	for _, j := range a.state.Queue() {
-		if j.Reservations[0].Machine != nil || j.Halted() || slices.ContainsFunc(a.state.Machines(), func(m *fleet.Machine) bool { return m.EligibleFor(j) }) {
+		if j.Reservations[0].Machine != nil || j.Halted() || slices.ContainsFunc(a.state.Machines(), func(m *fleet.Machine) bool { return m.EligibleFor(j, a.Now) }) {
 			continue
 		}
 		if !a.zoneAllowsRental(j.Spec.Zone) {
--- a/internal/core/machine_review.go
+++ b/internal/core/machine_review.go
@@ -124,7 +124,7 @@
 // isNeededByQueue reports whether the machine could run a task that waits in the queue.
 func (c *Core) isNeededByQueue(m *fleet.Machine) bool {
 	return slices.ContainsFunc(c.leadership.placement.Queue, func(j *fleet.Job) bool {
-		return m.EligibleFor(j) && c.leadership.placement.MayStartWithinLimit(j)
+		return m.EligibleFor(j, c.Now) && c.leadership.placement.MayStartWithinLimit(j)
 	})
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -20,7 +20,7 @@
 }
 
 func newJob() *Job {
-	j := &Job{Spec: spec.Job{ID: "wk-1", Tasks: 4, CPUs: 2, Image: "img", ImageGB: 1}, Progress: NewProgress(4), FailureHistory: FailureHistory{FailedOn: map[string]bool{}}}
+	j := &Job{Spec: spec.Job{ID: "wk-1", Tasks: 4, CPUs: 2, Image: "img", ImageGB: 1}, Progress: NewProgress(4), FailureHistory: NewFailureHistory()}
 	j.Need = j.Spec.TaskResources()
 	return j
 }
@@ -46,13 +46,14 @@
 		{"other zone", func(_ *Machine, j *Job) { j.Spec.Zone = "b" }, false},
 		{"own zone", func(_ *Machine, j *Job) { j.Spec.Zone = "a" }, true},
 		{"too large", func(_ *Machine, j *Job) { j.Need = timeline.Need(9, 0, 0) }, false},
-		{"failed there", func(_ *Machine, j *Job) { j.FailedOn["h1"] = true }, false},
-		{"failed elsewhere", func(_ *Machine, j *Job) { j.FailedOn["h2"] = true }, true},
-		{"failed everywhere", func(_ *Machine, j *Job) { j.FailedOn = map[string]bool{"h1": true, "h2": true, "h3": true} }, true},
+		{"failed there", func(_ *Machine, j *Job) { j.FailedOn["h1"] = t0 }, false},
+		{"failed there long ago", func(_ *Machine, j *Job) { j.FailedOn["h1"] = t0.Add(-exclusionTime) }, true},
+		{"failed elsewhere", func(_ *Machine, j *Job) { j.FailedOn["h2"] = t0 }, true},
+		{"failed everywhere", func(_ *Machine, j *Job) { j.FailedOn = map[string]time.Time{"h1": t0, "h2": t0, "h3": t0} }, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			m, j := newMachine(), newJob()
-			if test.prepare(m, j); m.EligibleFor(j) != test.want {
+			if test.prepare(m, j); m.EligibleFor(j, t0) != test.want {
 				t.Errorf("eligible %v, want %v", !test.want, test.want)
 			}
 		})
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -18,10 +18,6 @@
 	"yewpass/internal/writebatch"
 )
 
-// MaxFailedMachines is the maximum number of machines that a job excludes because its tasks failed
-// on them. Failures on more machines are attributed to the job, which then excludes none.
-const MaxFailedMachines = 2
-
 // Job is an accepted job that has not finished.
 type Job struct {
 	Spec             spec.Job
@@ -77,13 +73,6 @@
 	ImageLocalUntil       time.Time // until then only machines that have its image may start it
 }
 
-// FailureHistory records failures of a job's tasks.
-type FailureHistory struct {
-	FailedOn map[string]bool // machines on which a task failed
-	Failures int             // failures since a task last completed
-	RetryAt  time.Time       // no task starts before this time
-}
-
 // Finalization is the progress of a job's cancellation or completion.
 type Finalization struct {
 	Cancelling   bool               // the cancellation is being written
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -120,7 +120,7 @@
 	Unreachable  bool      // silent, in a zone that appears to be disconnected
 	RetryAt      time.Time // no starts before this time, after a refused start
 	FailureScore int
-	OnProbation  bool // its last task failed; runs one task at a time until one completes
+	Probation
 }
 
 // NewMachine returns a machine first seen at now. It has no capacity until the caller sets its
@@ -165,13 +165,13 @@
 	return nil
 }
 
-// EligibleFor reports whether the machine satisfies the job's constraints: spot, instance type,
-// zone, capacity and earlier failures. It ignores what is free now.
-func (m *Machine) EligibleFor(j *Job) bool {
+// EligibleFor reports whether the machine satisfies the job's constraints at the given time: spot,
+// instance type, zone, capacity and recent failures. It ignores what is free now.
+func (m *Machine) EligibleFor(j *Job, now time.Time) bool {
 	s := &j.Spec
 	return m.Schedulable() && (!m.Spot || s.AllowSpot) && AllowsInstanceType(s, m.TypeName) &&
 		(s.Zone == "" || s.Zone == m.Zone) && j.Need.Fits(m.Timeline.Capacity()) &&
-		(len(j.FailedOn) == 0 || !j.FailedOn[m.Host] || len(j.FailedOn) > MaxFailedMachines)
+		!j.Excludes(m.Host, now)
 }
 
 // HasReservationOf reports whether any of the job's reservations is on the machine.
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -78,7 +78,7 @@
 		LatencySensitive: m.Placement.IsLatencySensitive(s.Class),
 		Placement:        placementRules(&s),
 		Progress:         fleet.NewProgress(s.Tasks),
-		FailureHistory:   fleet.FailureHistory{FailedOn: map[string]bool{}},
+		FailureHistory:   fleet.NewFailureHistory(),
 		Finalization:     fleet.Finalization{Cancelled: rec.Cancelled},
 	}
 	if j.Team == nil { // the team was removed from the configuration
--- a/internal/placement/cluster_test.go
+++ b/internal/placement/cluster_test.go
@@ -69,7 +69,7 @@
 func (c *cluster) addJob(job spec.Job) *fleet.Job {
 	j := &fleet.Job{
 		Spec: job, Need: job.TaskResources(), Submitted: c.engine.Now, Team: c.teams[job.Owner], LatencySensitive: c.IsLatencySensitive(job.Class),
-		Progress: fleet.NewProgress(job.Tasks), FailureHistory: fleet.FailureHistory{FailedOn: map[string]bool{}},
+		Progress: fleet.NewProgress(job.Tasks), FailureHistory: fleet.NewFailureHistory(),
 		Placement: topology.Job{Key: job.ID, Tasks: job.Tasks},
 	}
 	c.jobs[job.ID] = j
--- a/internal/placement/estimates.go
+++ b/internal/placement/estimates.go
@@ -80,7 +80,7 @@
 	run := s.PaddedSpecEstimate(job)
 	best := time.Duration(1<<63 - 1)
 	for _, m := range s.leader.Machines() {
-		if m.EligibleFor(j) {
+		if m.EligibleFor(j, s.now()) {
 			if t, ok := m.Timeline.EarliestStart(s.earliestStart(m), run, j.Need); ok {
 				best = min(best, t.Add(run).Sub(s.now()))
 			}
--- a/internal/placement/offers.go
+++ b/internal/placement/offers.go
@@ -56,7 +56,7 @@
 func (s *Scheduler) collectOffers(j *fleet.Job, base time.Duration, deadline time.Time, hasDeadline bool) (h *offerHeap, anyMachine bool) {
 	h = &offerHeap{list: s.offerBuffer[:0], hasDeadline: hasDeadline}
 	for i, m := range s.leader.Machines() {
-		if !m.EligibleFor(j) {
+		if !m.EligibleFor(j, s.now()) {
 			continue
 		}
 		anyMachine = true
--- /dev/null
+++ b/internal/placement/probation_test.go
@@ -0,0 +1,100 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"yewpass/internal/fleet"
+	"yewpass/internal/heartbeat"
+	"yewpass/internal/spec"
+)
+
+// newServiceMachine returns a cluster of one large machine on which a task of a service runs.
+func newServiceMachine() (*cluster, *fleet.Machine) {
+	c := newCluster(3)
+	c.machines = c.machines[2:]
+	m := c.machines[0]
+	service := c.addJob(spec.Job{ID: "wk-000009", Class: "s", Owner: "t", Tasks: 1, CPUs: 2, MemGB: 1, Image: "img0", Service: true, AllowSpot: true})
+	a := &fleet.Attempt{ID: heartbeat.TaskID{Job: "wk-000009"}, Number: 1, Machine: m, Phase: heartbeat.Running, OrderedAt: t0, StartedAt: t0}
+	m.Attempts = append(m.Attempts, a)
+	c.Allocate(a, service)
+	m.Images.Add("img0", struct{}{})
+	return c, m
+}
+
+// addPending adds a job with pending tasks of one CPU.
+func (c *cluster) addPending(id string, tasks int) *fleet.Job {
+	j := c.addJob(spec.Job{ID: id, Class: "x", Owner: "t", Tasks: tasks, CPUs: 1, MemGB: 1, Image: "img0", AllowSpot: true, Runtime: time.Hour})
+	for i := range tasks {
+		j.Pending.Add(i)
+		j.Waiting++
+	}
+	c.Reserve(j)
+	return j
+}
+
+// TestProbationWithService guards against a machine that takes no more tasks: one task fails on it,
+// and the only other one, of a service, never completes.
+func TestProbationWithService(t *testing.T) {
+	c, m := newServiceMachine()
+	c.addPending("wk-000010", 3)
+	m.RecordFailure(1, c.engine.Now)
+	starts := []int{}
+	for range 5 { // one report every ten seconds
+		c.engine.Now = c.engine.Now.Add(10 * time.Second)
+		starts = append(starts, len(c.StartTasksOn(m)))
+	}
+	if total := starts[0] + starts[1] + starts[2] + starts[3] + starts[4]; total < 2 || starts[0] > 0 || starts[1] > 1 {
+		t.Errorf("starts %v, want a first one after the trial interval and then one at a time", starts)
+	}
+}
+
+// TestTrialEndsProbation checks that a machine takes tasks as before once a task that was started
+// after the failure has run for long enough, even if no task on the machine ever completes.
+func TestTrialEndsProbation(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		ordered time.Duration // relative to the failure
+		runs    time.Duration
+		starts  int
+	}{
+		{"started after the failure", time.Second, 10 * time.Second, 8},
+		{"not long enough", time.Second, 9 * time.Second, 1},
+		{"started before the failure", -time.Second, 10 * time.Second, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, m := newServiceMachine()
+			c.addPending("wk-000010", 8)
+			m.RecordFailure(1, c.engine.Now)
+			a := m.Attempts[0]
+			a.OrderedAt, a.StartedAt = c.engine.Now.Add(test.ordered), c.engine.Now.Add(test.ordered)
+			c.engine.Now = a.StartedAt.Add(test.runs)
+			m.RecordRunning(a, c.engine.Now)
+			c.engine.Now = c.engine.Now.Add(time.Minute)
+			if starts := len(c.StartTasksOn(m)); starts != test.starts {
+				t.Errorf("%d tasks started, want %d", starts, test.starts)
+			}
+		})
+	}
+}
+
+// TestFailedJobReturns guards against a job that waits beside a machine with room: its task has
+// failed on that machine, no other one fits, and nothing on the machine ever completes.
+func TestFailedJobReturns(t *testing.T) {
+	c, m := newServiceMachine()
+	j := c.addPending("wk-000010", 1)
+	j.RecordFailure(m.Host, c.engine.Now)
+	c.engine.Now = c.engine.Now.Add(20 * time.Second)
+	c.RefreshDueReservations(time.Second)
+	if starts := len(c.StartTasksOn(m)); starts != 0 {
+		t.Errorf("%d tasks started on a machine on which one has just failed, want 0", starts)
+	}
+	for range 3 {
+		c.engine.Now = c.engine.Now.Add(20 * time.Second)
+		c.RefreshDueReservations(time.Second)
+		c.StartTasksOn(m)
+	}
+	if j.Waiting != 0 {
+		t.Errorf("%d tasks are still pending 80 s after the failure, want 0", j.Waiting)
+	}
+}
--- a/internal/placement/reservations_test.go
+++ b/internal/placement/reservations_test.go
@@ -20,7 +20,7 @@
 		var start time.Time
 		var length time.Duration
 		for _, m := range c.machines {
-			if !m.EligibleFor(j) {
+			if !m.EligibleFor(j, c.engine.Now) {
 				continue
 			}
 			d := c.ReservationDuration(j, m)
--- a/internal/placement/starts.go
+++ b/internal/placement/starts.go
@@ -79,8 +79,8 @@
 func (f *startPass) startStarved() {
 	m := f.machine
 	for _, j := range f.starved {
-		if len(j.Reservations) == 0 || len(j.Attempts) > 0 || !m.EligibleFor(j) || !f.MayStart(j) || j.Team.TasksWithinLimit(j.Need, 1) == 0 || f.topologyLimit(j, m, 1) == 0 ||
-			f.AnyGuarantee && j.Team.TasksWithinGuarantee(j.Need, 1) == 0 || m.OnProbation && len(m.Attempts) > 0 {
+		if len(j.Reservations) == 0 || len(j.Attempts) > 0 || !m.EligibleFor(j, f.now()) || !f.MayStart(j) || j.Team.TasksWithinLimit(j.Need, 1) == 0 || f.topologyLimit(j, m, 1) == 0 ||
+			f.AnyGuarantee && j.Team.TasksWithinGuarantee(j.Need, 1) == 0 || m.AwaitsTrial(f.now()) {
 			continue
 		}
 		if !j.Need.Fits(m.FreeResources()) {
@@ -125,11 +125,11 @@
 // startFromJob starts tasks of the job's next reservation.
 func (f *startPass) startFromJob(j *fleet.Job, borrowing bool) walkStep {
 	m := f.machine
-	if !borrowing && j.Team.TasksWithinGuarantee(j.Need, 1) == 0 || !m.EligibleFor(j) || !f.MayStart(j) {
+	if !borrowing && j.Team.TasksWithinGuarantee(j.Need, 1) == 0 || !m.EligibleFor(j, f.now()) || !f.MayStart(j) {
 		return nextJob
 	}
-	if m.OnProbation && len(m.Attempts) > 0 {
-		return stop // one task at a time until one completes
+	if m.AwaitsTrial(f.now()) {
+		return stop
 	}
 	r := f.nextReservationFor(j, m)
 	if r == nil {
@@ -208,7 +208,10 @@
 		n = j.Team.TasksWithinGuarantee(j.Need, n)
 	}
 	n = f.topologyLimit(j, f.machine, n)
-	if f.machine.OnProbation || j.Failures > 0 && !j.AnyCompleted {
+	if f.machine.OnProbation {
+		n = min(n, 1)
+	}
+	if j.Failures > 0 && !j.AnyCompleted {
 		n = min(n, max(0, 1-len(j.Attempts)))
 	}
 	return n
@@ -237,6 +240,7 @@
 		Machine: m, Phase: fleet.Ordered, OrderedCounter: m.Counter, OrderedAt: s.now(),
 	}
 	m.Attempts = append(m.Attempts, a)
+	m.LastStart = s.now()
 	s.Allocate(a, j)
 	return heartbeat.Order{Verb: heartbeat.Start, Task: a.ID, Attempt: a.Number}
 }
