A job with a failed task does not wait for one of its others to complete

A service whose replica fails never got it back, as its other replicas run on and never complete; a long array of which one task fails at once on a faulty machine started nothing more for the runtime of its first tasks, beside machines with room.

Change: such a job starts one task if it has none, as before, and otherwise, every 15 s, as many as are running: a job that fails everywhere has none running, and one that fails late grows slowly.

--- a/internal/fleet/failures.go
+++ b/internal/fleet/failures.go
@@ -9,8 +9,9 @@
 	// exclusionTime is how long a job excludes a machine on which one of its tasks has failed. It is
 	// bounded because the machine may be the only one that fits, and may have recovered.
 	exclusionTime = 30 * time.Second
-	// trialInterval is the time between two starts on a machine on probation that has other tasks.
-	// Those may never end, as the tasks of services do not.
+	// trialInterval is the time between two starts on a machine on probation that has other tasks,
+	// and between two rounds of starts of a job that has had a failure and has other tasks. Those
+	// may never end, as the tasks of services do not.
 	trialInterval = 15 * time.Second
 	// trialRuntime is the runtime after which a task started since the last failure shows that the
 	// machine works.
@@ -25,6 +26,7 @@
 	FailedOn    map[string]time.Time // machines on which a task failed, with the time of the last failure
 	Failures    int                  // failures since a task last completed
 	LastFailure time.Time
+	LastStart   time.Time // when a task was last started
 	RetryAt     time.Time // no task starts before this time
 }
 
@@ -56,6 +58,21 @@
 	h.LastFailure = now
 }
 
+// LimitStarts returns how many of n tasks of the job may start now. After a failure the job may be
+// at fault, so until one of its tasks completes it may start one if it has none, and in each
+// trialInterval as many as are running.
+func (j *Job) LimitStarts(n int, now time.Time) int {
+	switch {
+	case j.Failures == 0 || j.AnyCompleted:
+		return n
+	case len(j.Attempts) == 0:
+		return min(n, 1)
+	case now.Sub(latest(j.LastFailure, j.LastStart)) < trialInterval:
+		return 0
+	}
+	return min(n, max(1, j.Running))
+}
+
 // Probation is the state of a machine on which a task has failed. Until one of its tasks completes,
 // or one that was started since then has run for trialRuntime, tasks start one at a time.
 type Probation struct {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -192,3 +192,35 @@
 		t.Errorf("spot price per CPU %v, want 1", p)
 	}
 }
+
+// TestLimitStarts checks that a job which may be at fault starts more tasks only as far as others
+// are running, and that it is not held up until one completes.
+func TestLimitStarts(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		failures  int
+		completed bool
+		attempts  int
+		running   int
+		after     time.Duration // since the failure
+		want      int
+	}{
+		{"no failure", 0, false, 2, 2, 0, 9},
+		{"completed one", 1, true, 2, 2, 0, 9},
+		{"without attempts", 1, false, 0, 0, 0, 1},
+		{"too early", 1, false, 2, 2, trialInterval - 1, 0},
+		{"none running", 1, false, 2, 0, trialInterval, 1},
+		{"some running", 1, false, 4, 4, trialInterval, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j := newJob()
+			j.Failures, j.LastFailure, j.AnyCompleted, j.Running = test.failures, t0, test.completed, test.running
+			for i := range test.attempts {
+				j.Attempts[i] = &Attempt{}
+			}
+			if got := j.LimitStarts(9, t0.Add(test.after)); got != test.want {
+				t.Errorf("LimitStarts(9) = %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/placement/probation_test.go
+++ b/internal/placement/probation_test.go
@@ -98,3 +98,20 @@
 		t.Errorf("%d tasks are still pending 80 s after the failure, want 0", j.Waiting)
 	}
 }
+
+// TestReplicaRestarts guards against a service that never gets back a replica: one has failed, and
+// the others, which run on, never complete.
+func TestReplicaRestarts(t *testing.T) {
+	c, m := newServiceMachine()
+	service := c.jobs["wk-000009"]
+	service.Spec.Tasks = 2
+	service.Progress.Pending = fleet.NewProgress(2).Pending
+	service.Pending.Add(1)
+	service.Waiting++
+	c.Reserve(service)
+	service.RecordFailure("elsewhere", c.engine.Now)
+	c.engine.Now = c.engine.Now.Add(20 * time.Second)
+	if starts := len(c.StartTasksOn(m)); starts != 1 {
+		t.Errorf("%d replicas started 20 s after the failure, want 1", starts)
+	}
+}
--- a/internal/placement/starts.go
+++ b/internal/placement/starts.go
@@ -208,12 +208,10 @@
 		n = j.Team.TasksWithinGuarantee(j.Need, n)
 	}
 	n = f.topologyLimit(j, f.machine, n)
+	n = j.LimitStarts(n, f.now())
 	if f.machine.OnProbation {
 		n = min(n, 1)
 	}
-	if j.Failures > 0 && !j.AnyCompleted {
-		n = min(n, max(0, 1-len(j.Attempts)))
-	}
 	return n
 }
 
@@ -240,7 +238,7 @@
 		Machine: m, Phase: fleet.Ordered, OrderedCounter: m.Counter, OrderedAt: s.now(),
 	}
 	m.Attempts = append(m.Attempts, a)
-	m.LastStart = s.now()
+	m.LastStart, j.LastStart = s.now(), s.now()
 	s.Allocate(a, j)
 	return heartbeat.Order{Verb: heartbeat.Start, Task: a.ID, Attempt: a.Number}
 }
