Warm capacity does not keep a task off every machine that is large enough for it

A task that needs more than the rest of such a machine never started there, even on an empty one, unless its job had never run a task and counted as starved after begin_within_s.

TestWarmReserveFitsLargeTask failed before ("0 tasks started, want 1").

--- a/internal/placement/probation_test.go
+++ b/internal/placement/probation_test.go
@@ -115,3 +115,23 @@
 		t.Errorf("%d replicas started 20 s after the failure, want 1", starts)
 	}
 }
+
+// TestWarmReserveFitsLargeTask guards against a task that never starts because the capacity kept
+// free for latency-sensitive jobs leaves no machine large enough for it.
+func TestWarmReserveFitsLargeTask(t *testing.T) {
+	c := newCluster(3)
+	c.machines = c.machines[2:]
+	m := c.machines[0]
+	j := c.addJob(spec.Job{ID: "wk-000010", Class: "x", Owner: "t", Tasks: 1, CPUs: 30, MemGB: 1, Image: "img0", AllowSpot: true, Runtime: time.Hour})
+	j.Pending.Add(0)
+	j.Waiting++
+	j.HasRun = true // a starved job without a started task ignores the reserve
+	c.Reserve(j)
+	c.ReserveWarmCapacity(8000)
+	if m.WarmReserve == 0 {
+		t.Fatal("no capacity is kept free")
+	}
+	if starts := len(c.StartTasksOn(m)); starts != 1 {
+		t.Errorf("%d tasks started, want 1", starts)
+	}
+}
--- a/internal/placement/starts.go
+++ b/internal/placement/starts.go
@@ -167,11 +167,11 @@
 }
 
 // freeFor returns the free resources that the job may use: warm capacity only if it is
-// latency-sensitive.
+// latency-sensitive or needs more than the rest of the machine.
 func (f *startPass) freeFor(j *fleet.Job) timeline.Resources {
-	free := f.free
-	if f.machine.WarmReserve > 0 && !j.LatencySensitive {
-		free.CPU -= f.machine.WarmReserve
+	free, reserve := f.free, f.machine.WarmReserve
+	if !j.LatencySensitive && j.Need.CPU <= f.machine.Timeline.Capacity().CPU-reserve {
+		free.CPU -= reserve
 	}
 	return free
 }
