A machine that drains is returned to service for a job that waits beside it

Cause: scaling in looked only at the free CPUs of all machines, whatever their type; a drain ends only when the last task does, which the task of a service without checkpoints never does and is not moved; and only a backlog of more than 10 s of all CPUs ended it otherwise.

Change: a machine with such a task does not begin to drain, as it would never be released. A draining machine that has room for a job which may start, and has waited for its next start for 10 s, is returned to service, and not drained again for the minimum rental time; a job for which no machine is eligible gets one back instead of a new instance.

--- a/internal/admission/admitter_test.go
+++ b/internal/admission/admitter_test.go
@@ -78,6 +78,7 @@
 func (l *leader) Queue() fleet.Queue                          { return nil }
 func (l *leader) Zone(string) *zones.Zone                     { return nil }
 func (l *leader) Estimate(*fleet.Job) time.Duration           { return time.Minute }
+func (l *leader) MayStartOn(*fleet.Job, *fleet.Machine) bool  { return true }
 func (l *leader) MaxMachines() int                            { return 10 }
 func (l *leader) Term() (term, era uint64)                    { return 5, 1 }
 func (l *leader) HasLoadedRecords() bool                      { return true }
--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -26,6 +26,9 @@
 	Zone(name string) *zones.Zone
 	// Estimate returns the expected runtime of one task of a job.
 	Estimate(j *fleet.Job) time.Duration
+	// MayStartOn reports whether a task of the job may start on the machine now as far as the job's
+	// team, its placement rules and the failover are concerned.
+	MayStartOn(j *fleet.Job, m *fleet.Machine) bool
 	// IsActive reports whether the leader has authority and has loaded the records.
 	IsActive() bool
 	// MaxMachines returns how many machines the controllers can serve.
--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -27,16 +27,18 @@
 	started     []string
 	released    []string
 	dropped     int
+	mayNotStart bool // MayStartOn returns false
 }
 
-func (l *fakeLeader) Machines() []*fleet.Machine          { return l.machines }
-func (l *fakeLeader) Queue() fleet.Queue                  { return l.queue }
-func (l *fakeLeader) Zone(name string) *zones.Zone        { return l.zones.Zone(name) }
-func (l *fakeLeader) Estimate(j *fleet.Job) time.Duration { return j.Spec.Runtime }
-func (l *fakeLeader) IsActive() bool                      { return true }
-func (l *fakeLeader) MaxMachines() int                    { return l.maxMachines }
-func (l *fakeLeader) Term() (term, era uint64)            { return 3, 0xa }
-func (l *fakeLeader) InstanceTypesChanged()               {}
+func (l *fakeLeader) Machines() []*fleet.Machine                 { return l.machines }
+func (l *fakeLeader) Queue() fleet.Queue                         { return l.queue }
+func (l *fakeLeader) Zone(name string) *zones.Zone               { return l.zones.Zone(name) }
+func (l *fakeLeader) Estimate(j *fleet.Job) time.Duration        { return j.Spec.Runtime }
+func (l *fakeLeader) IsActive() bool                             { return true }
+func (l *fakeLeader) MaxMachines() int                           { return l.maxMachines }
+func (l *fakeLeader) MayStartOn(*fleet.Job, *fleet.Machine) bool { return !l.mayNotStart }
+func (l *fakeLeader) Term() (term, era uint64)                   { return 3, 0xa }
+func (l *fakeLeader) InstanceTypesChanged()                      {}
 func (l *fakeLeader) InstanceStarted(host string, _ Offer, _ time.Time) {
 	l.started = append(l.started, host)
 }
@@ -242,3 +244,79 @@
 		t.Errorf("boot timeout is %v after a successful boot, want 1m", a.BootTimeout(m))
 	}
 }
+
+// TestServiceKeepsMachineInService guards against a drain that never ends: the tasks of a service
+// without checkpoints do not end and are not moved.
+func TestServiceKeepsMachineInService(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		job     spec.Job
+		drained bool
+	}{
+		{"service", spec.Job{Service: true}, false},
+		{"service with checkpoints", spec.Job{Service: true, CheckpointInterval: time.Minute}, true},
+		{"tasks that end", spec.Job{}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a, l := newAutoscaler(t)
+			m := l.addMachine(a, "large", 2)
+			m.Spot = false // the most expensive one drains first
+			for range 3 {
+				l.addMachine(a, "large", 0)
+			}
+			m.Attempts = []*fleet.Attempt{{Job: &fleet.Job{Spec: test.job}, HoldsResources: true}}
+			if a.ScaleIn(true); m.Draining != test.drained {
+				t.Errorf("draining %v, want %v", m.Draining, test.drained)
+			}
+		})
+	}
+}
+
+// TestDrainingMachineReturns guards against a job that waits for a machine that drains and has room.
+func TestDrainingMachineReturns(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		waits       time.Duration
+		job         spec.Job
+		used        float64
+		mayNotStart bool
+		returns     bool
+	}{
+		{"waits", 10 * time.Second, spec.Job{AllowSpot: true}, 2, false, true},
+		{"has just come", 9 * time.Second, spec.Job{AllowSpot: true}, 2, false, false},
+		{"other type", time.Minute, spec.Job{AllowSpot: true, InstanceTypes: []string{"small"}}, 2, false, false},
+		{"no room", time.Minute, spec.Job{AllowSpot: true}, 32, false, false},
+		{"team at its limit", time.Minute, spec.Job{AllowSpot: true}, 2, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a, l := newAutoscaler(t)
+			m := l.addMachine(a, "large", test.used)
+			m.Draining = true
+			l.addMachine(a, "large", 0)
+			l.mayNotStart = test.mayNotStart
+			j := l.addJob(1, time.Second, test.job)
+			j.Submitted = a.Now.Add(-test.waits)
+			if a.ScaleIn(true); m.Draining == test.returns {
+				t.Fatalf("returned to service: %v, want %v", !m.Draining, test.returns)
+			}
+			l.queue = nil
+			a.Begin(a.Now.Add(MinRentalTime - time.Second))
+			if a.ScaleIn(true); test.returns && m.Draining {
+				t.Error("drains again at once")
+			}
+		})
+	}
+}
+
+// TestDrainingMachineInsteadOfInstance checks that a job for which no machine is eligible gets a
+// draining one back instead of a new instance.
+func TestDrainingMachineInsteadOfInstance(t *testing.T) {
+	a, l := newAutoscaler(t)
+	m := l.addMachine(a, "large", 2)
+	m.Draining = true
+	l.addJob(1, time.Second, spec.Job{AllowSpot: true, InstanceTypes: []string{"large"}}).Submitted = a.Now
+	a.ScaleOut(time.Minute, time.Hour)
+	if list := takeCloudRequests(a, provider.ScaleOut); len(list) != 0 || m.Draining {
+		t.Errorf("draining %v, requests %+v, want no request and the machine in service", m.Draining, list)
+	}
+}
--- a/internal/autoscaler/scale_in.go
+++ b/internal/autoscaler/scale_in.go
@@ -34,6 +34,7 @@
 // that every machine that may hold tasks of an earlier term is accounted for; no machine starts
 // draining before.
 func (a *Autoscaler) ScaleIn(allAccounted bool) {
+	a.returnNeededMachines()
 	if len(a.state.Queue()) > 0 && a.backlog > drainBacklog {
 		if a.backlog > undrainBacklog {
 			a.stopDraining()
@@ -56,6 +57,9 @@
 		if free-m.InstanceType.CPUs < reserve {
 			continue // the others would have less free capacity than the reserve
 		}
+		if m.NeverEmpties() {
+			continue
+		}
 		free -= m.InstanceType.CPUs
 		draining++
 		m.Draining = true
@@ -89,7 +93,7 @@
 		}
 		u.used += float64(m.Allocated.CPU) / 1000
 		u.free += float64(m.FreeResources().CPU) / 1000
-		if a.Now.Sub(m.RentedAt) >= MinRentalTime {
+		if a.Now.Sub(m.RentedAt) >= MinRentalTime && a.Now.Sub(m.ReturnedAt) >= MinRentalTime {
 			u.candidates = append(u.candidates, m)
 		}
 	}
--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -37,7 +37,7 @@
 		if j.Reservations[0].Machine != nil || j.Halted() || slices.ContainsFunc(a.state.Machines(), func(m *fleet.Machine) bool { return m.EligibleFor(j, a.Now) }) {
 			continue
 		}
-		if !a.zoneAllowsRental(j.Spec.Zone) {
+		if !a.zoneAllowsRental(j.Spec.Zone) || a.returnToService(a.drainingMachines(), j) {
 			continue // must not block requests for other jobs
 		}
 		return a.requestInstances(requirement{spec: &j.Spec, cpus: float64(min(j.Waiting, maxUnplaceableTasks)) * j.Spec.CPUs, urgent: true})
--- a/internal/core/autoscaler.go
+++ b/internal/core/autoscaler.go
@@ -46,6 +46,11 @@
 	return s.c.leadership.placement.Estimate(j)
 }
 
+// MayStartOn implements autoscaler.State.
+func (s autoscalerState) MayStartOn(j *fleet.Job, m *fleet.Machine) bool {
+	return s.c.leadership.placement.MayStartOn(j, m)
+}
+
 // IsActive implements autoscaler.State.
 func (s autoscalerState) IsActive() bool { return s.c.isActive() }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -100,6 +100,7 @@
 	IdleSince      time.Time
 	Releasing      bool
 	Draining       bool      // accepts no new tasks and is released once its tasks have ended
+	ReturnedAt     time.Time // when a job last needed it although it was draining
 	InterruptionAt time.Time // announced time of the spot interruption; zero if none
 }
 
@@ -144,8 +145,12 @@
 }
 
 // Schedulable reports whether new tasks may be reserved on the machine.
-func (m *Machine) Schedulable() bool {
-	return m.InstanceType != nil && !m.Releasing && !m.Draining && !m.Quarantined && !m.LeaseExpired && !m.Unreachable && m.InterruptionAt.IsZero()
+func (m *Machine) Schedulable() bool { return m.schedulableAfterDrain() && !m.Draining }
+
+// schedulableAfterDrain reports whether new tasks may be reserved on the machine if it does not
+// drain.
+func (m *Machine) schedulableAfterDrain() bool {
+	return m.InstanceType != nil && !m.Releasing && !m.Quarantined && !m.LeaseExpired && !m.Unreachable && m.InterruptionAt.IsZero()
 }
 
 // FreeResources returns the capacity that no attempt holds.
@@ -168,8 +173,26 @@
 // EligibleFor reports whether the machine satisfies the job's constraints at the given time: spot,
 // instance type, zone, capacity and recent failures. It ignores what is free now.
 func (m *Machine) EligibleFor(j *Job, now time.Time) bool {
+	return m.Schedulable() && m.satisfies(j, now)
+}
+
+// HasRoomAfterDrain reports whether a task of the job could start on the machine at the given time
+// if it did not drain.
+func (m *Machine) HasRoomAfterDrain(j *Job, now time.Time) bool {
+	return m.Reported && m.schedulableAfterDrain() && m.satisfies(j, now) && j.Need.Fits(m.FreeResources())
+}
+
+// NeverEmpties reports whether the machine has a task that neither ends by itself nor is moved to
+// another machine: that of a service without checkpoints.
+func (m *Machine) NeverEmpties() bool {
+	return slices.ContainsFunc(m.Attempts, func(a *Attempt) bool {
+		return a.Job != nil && a.HoldsResources && a.Job.Spec.Service && a.Job.Spec.CheckpointInterval <= 0
+	})
+}
+
+func (m *Machine) satisfies(j *Job, now time.Time) bool {
 	s := &j.Spec
-	return m.Schedulable() && (!m.Spot || s.AllowSpot) && AllowsInstanceType(s, m.TypeName) &&
+	return (!m.Spot || s.AllowSpot) && AllowsInstanceType(s, m.TypeName) &&
 		(s.Zone == "" || s.Zone == m.Zone) && j.Need.Fits(m.Timeline.Capacity()) &&
 		!j.Excludes(m.Host, now)
 }
--- a/internal/placement/starts.go
+++ b/internal/placement/starts.go
@@ -41,6 +41,12 @@
 	return s.MayStart(j) && j.Team.TasksWithinLimit(j.Need, 1) > 0
 }
 
+// MayStartOn reports whether MayStartWithinLimit holds and the job's placement rules allow one more
+// task on the machine.
+func (s *Scheduler) MayStartOn(j *fleet.Job, m *fleet.Machine) bool {
+	return s.MayStartWithinLimit(j) && s.topologyLimit(j, m, 1) > 0
+}
+
 func (s *Scheduler) acceptsTasks(m *fleet.Machine) bool {
 	return m.FreeResources().CPU > 0 && len(s.Queue) > 0 && s.leader.IsActive() &&
 		m.Reported && m.Record == fleet.Recorded && m.Schedulable() && m.ZoneState.AllowsTaskStarts() &&
