A job does not wait for the end of a service on the only machine that is large enough

The same cause on a related path: a task found its earliest start after the booking of a service, twenty years ahead, and kept a reservation there. The reservation also held back new services on that machine.

Change: no start is offered behind the booking of a service, and an instance is requested for a job for which no eligible machine has or will have room.

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -68,7 +68,7 @@
 	m := &fleet.Machine{}
 	m.Host, m.TypeName, m.Zone, m.Spot = fmt.Sprint("h", len(l.machines)), typeName, "a", true
 	m.InstanceType, m.Reported, m.RentedAt = a.InstanceType(typeName), true, start.Add(-time.Hour)
-	m.Timeline, m.Allocated = timeline.New(m.InstanceType.Capacity), timeline.Capacity(used, 0, 0)
+	m.Timeline, m.Allocated, m.Images = timeline.New(m.InstanceType.Capacity), timeline.Capacity(used, 0, 0), fleet.NewImages()
 	l.machines = append(l.machines, m)
 	return m
 }
@@ -320,3 +320,28 @@
 		t.Errorf("draining %v, requests %+v, want no request and the machine in service", m.Draining, list)
 	}
 }
+
+// TestInstanceBesideService guards against a job that never runs: the only machine large enough for
+// its task has a service on it, which counts as a machine for the job.
+func TestInstanceBesideService(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		end      time.Duration // of the booking on the machine
+		requests int
+	}{
+		{"service", timeline.Forever, 1},
+		{"task that ends", time.Minute, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a, l := newAutoscaler(t)
+			m := l.addMachine(a, "large", 2)
+			m.Timeline.Add(&timeline.Booking{Start: a.Now, End: a.Now.Add(test.end), Need: timeline.Need(2, 0, 0), Count: 1})
+			j := l.addJob(1, time.Second, spec.Job{AllowSpot: true})
+			j.Need = timeline.Need(32, 0, 0)
+			a.ScaleOut(time.Hour, time.Hour)
+			if list := takeCloudRequests(a, provider.ScaleOut); len(list) != test.requests {
+				t.Errorf("%d requests, want %d: %+v", len(list), test.requests, list)
+			}
+		})
+	}
+}
--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -30,11 +30,11 @@
 	a.coverShortage(all, targetBacklog, onDemandBacklog, false)
 }
 
-// requestForUnplaceableJob requests instances for the first job for which no machine is eligible.
+// requestForUnplaceableJob requests instances for the first job for which no machine will have room.
 // It returns false if such a job exists and no request could be sent.
 func (a *Autoscaler) requestForUnplaceableJob() bool {
 	for _, j := range a.state.Queue() {
-		if j.Reservations[0].Machine != nil || j.Halted() || slices.ContainsFunc(a.state.Machines(), func(m *fleet.Machine) bool { return m.EligibleFor(j, a.Now) }) {
+		if j.Reservations[0].Machine != nil || j.Halted() || a.hasMachineFor(j) {
 			continue
 		}
 		if !a.zoneAllowsRental(j.Spec.Zone) || a.returnToService(a.drainingMachines(), j) {
@@ -45,6 +45,18 @@
 	return true
 }
 
+// hasMachineFor reports whether any machine is eligible for the job and has or will have room for
+// one of its tasks. The tasks of services leave no room at any time.
+func (a *Autoscaler) hasMachineFor(j *fleet.Job) bool {
+	return slices.ContainsFunc(a.state.Machines(), func(m *fleet.Machine) bool {
+		if !m.EligibleFor(j, a.Now) {
+			return false
+		}
+		_, ok := m.Timeline.EarliestStart(a.Now, fleet.ReservationDuration(j, m, a.state.Estimate(j)), j.Need)
+		return ok
+	})
+}
+
 // coverShortage requests instances until the supply can finish the work within the target, or until
 // no request can be sent.
 func (a *Autoscaler) coverShortage(work workload, target, onDemandBacklog time.Duration, onDemandOnly bool) {
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -204,7 +204,7 @@
 }
 
 // EarliestStart returns the earliest start, not before from, at which need fits for length. It
-// reports false only if need exceeds the machine's capacity.
+// reports false if need exceeds the machine's capacity or what the bookings of services leave of it.
 func (t *Timeline) EarliestStart(from time.Time, length time.Duration, need Resources) (time.Time, bool) {
 	if !need.Fits(t.capacity) {
 		return time.Time{}, false
@@ -222,7 +222,7 @@
 			start = points[i+1].at
 		}
 	}
-	return start, true
+	return start, start.Sub(from) < Forever/2
 }
 
 // FitCount returns how many tasks with the given need, at most limit, fit together from start for
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -104,3 +104,16 @@
 		}
 	}
 }
+
+// TestEarliestStartBesideService checks that no start is found after the booking of a service.
+func TestEarliestStartBesideService(t *testing.T) {
+	tl := New(Capacity(8, 0, 32))
+	tl.Add(&Booking{Start: t0, End: t0.Add(Forever), Need: Need(2, 0, 1), Count: 1})
+	tl.Add(&Booking{Start: t0, End: t0.Add(time.Minute), Need: Need(6, 0, 1), Count: 1})
+	if start, ok := tl.EarliestStart(t0, time.Second, Need(6, 0, 1)); !ok || !start.Equal(t0.Add(time.Minute)) {
+		t.Errorf("start %v (found %v), want a minute later", start, ok)
+	}
+	if start, ok := tl.EarliestStart(t0, time.Second, Need(7, 0, 1)); ok {
+		t.Errorf("start %v found for what never fits beside the service", start)
+	}
+}
