A zone whose machines no longer exist does not stay lost

Two silent machines are kept for ever to show its return, nothing is rented while they are kept, and a new machine is only requested as a probe in a zone without any. Jobs bound to the zone never ran.

Change: a complete listing of the cloud that lacks a machine shows that it no longer exists, if the machine was known before the oldest state that the list can describe (twice list_lag_s, from the protocol, before the listing began). Such machines of an unreachable zone are released, so that the zone is probed. Machines of a zone that is cut off are still listed and kept as before. The proof that a task has ended is unchanged: the response to the release, or the lease.

TestGoneMachinesOfLostZone, TestMissingInstances.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -46,6 +46,9 @@
 	InstanceStarted(host string, o Offer, requestedAt time.Time)
 	// InstanceListed reconciles one entry of the cloud's list of instances.
 	InstanceListed(i provider.Instance)
+	// InstancesMissing is called with the result of a complete listing: exists reports whether the
+	// cloud lists a host. A machine that was known at asOf and is not listed no longer exists.
+	InstancesMissing(exists func(host string) bool, asOf time.Time)
 	// InstanceReleased removes a machine after the cloud has confirmed its release.
 	InstanceReleased(host string)
 	// DropReservations cancels the reservations on a machine and places the tasks elsewhere.
@@ -63,6 +66,7 @@
 	Teams         map[string]*quota.Account
 	InstanceTypes []provider.InstanceType // last known; may be empty
 	CloudRPS      float64                 // the cloud's rate limit, in requests per second
+	ListLag       time.Duration           // by which the cloud's list usually lags
 }
 
 // cloudCallShare is the share of the cloud's rate limit that the autoscaler uses.
@@ -75,6 +79,7 @@
 	state     State
 	inventory Inventory
 	callLimit *rate.Limiter
+	listLag   time.Duration
 
 	Catalog
 	requests
@@ -93,6 +98,7 @@
 		state:              c.State,
 		inventory:          c.Inventory,
 		callLimit:          rate.NewLimiter(rate.Limit(c.CloudRPS*cloudCallShare), max(1, int(c.CloudRPS))),
+		listLag:            c.ListLag,
 		Catalog:            Catalog{InstanceTypes: c.InstanceTypes},
 		requests:           requests{noCapacityUntil: map[Offer]time.Time{}, pending: map[string]*pendingRequest{}},
 		arrivals:           arrivals{teams: c.Teams},
--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -27,7 +27,9 @@
 	started     []string
 	released    []string
 	dropped     int
-	mayNotStart bool // MayStartOn returns false
+	mayNotStart bool     // MayStartOn returns false
+	missing     []string // hosts that a listing lacked
+	listedAsOf  time.Time
 }
 
 func (l *fakeLeader) Machines() []*fleet.Machine                 { return l.machines }
@@ -43,9 +45,17 @@
 	l.started = append(l.started, host)
 }
 func (l *fakeLeader) InstanceListed(provider.Instance) {}
-func (l *fakeLeader) InstanceReleased(host string)     { l.released = append(l.released, host) }
-func (l *fakeLeader) DropReservations(*fleet.Machine)  { l.dropped++ }
-func (l *fakeLeader) RequestDispatchAll()              {}
+func (l *fakeLeader) InstancesMissing(exists func(string) bool, asOf time.Time) {
+	l.listedAsOf = asOf
+	for _, m := range l.machines {
+		if !exists(m.Host) {
+			l.missing = append(l.missing, m.Host)
+		}
+	}
+}
+func (l *fakeLeader) InstanceReleased(host string)    { l.released = append(l.released, host) }
+func (l *fakeLeader) DropReservations(*fleet.Machine) { l.dropped++ }
+func (l *fakeLeader) RequestDispatchAll()             {}
 
 // newAutoscaler returns an Autoscaler with a small and a large instance type in zones a and b.
 func newAutoscaler(t *testing.T) (*Autoscaler, *fakeLeader) {
@@ -345,3 +355,32 @@
 		})
 	}
 }
+
+// TestMissingInstances checks that only a complete listing shows which machines are missing, as of
+// the time before which it cannot lag.
+func TestMissingInstances(t *testing.T) {
+	a, l := newAutoscaler(t)
+	a.listLag = 3 * time.Second
+	l.addMachine(a, "large", 0)
+	l.addMachine(a, "large", 0)
+	reply := func(more bool, hosts ...string) {
+		t.Helper()
+		var instances []provider.Instance
+		for _, h := range hosts {
+			instances = append(instances, provider.Instance{Host: h})
+		}
+		calls := takeCloudRequests(a, provider.List)
+		if len(calls) != 1 {
+			t.Fatalf("%d list requests, want 1", len(calls))
+		}
+		a.HandleCloud(provider.Response{Ref: calls[0].Ref, Outcome: rpc.OK, Instances: instances, More: more})
+	}
+	a.ListInstances()
+	a.Now = a.Now.Add(time.Second)
+	if reply(true, "h0"); len(l.missing) != 0 {
+		t.Errorf("missing %q after the first page, want none", l.missing)
+	}
+	if reply(false, "h9"); len(l.missing) != 1 || l.missing[0] != "h1" || !l.listedAsOf.Equal(start.Add(-6*time.Second)) {
+		t.Errorf("missing %q as of %v, want h1 as of 6 s before the listing began", l.missing, l.listedAsOf.Sub(start))
+	}
+}
--- a/internal/autoscaler/instances.go
+++ b/internal/autoscaler/instances.go
@@ -15,33 +15,50 @@
 	// page.
 	maxListed          = 100_000
 	maxReleasesPerCall = 100
+	// maxListLagFactor times the usual lag is the largest lag of the cloud's list.
+	maxListLagFactor = 2
 )
 
 // ListInstances reads the cloud's list of instances now and every listInterval. The list reveals
 // instances requested by an earlier leader or by a request that timed out, and instances that have
 // failed.
-func (a *Autoscaler) ListInstances() { a.listInstances("", nil) }
+func (a *Autoscaler) ListInstances() { a.listInstances(&listing{startedAt: a.Now}, "") }
 
-// listInstances reads the page of the list that follows the host after. listed holds the entries of
-// the previous pages.
-func (a *Autoscaler) listInstances(after string, listed []provider.Instance) {
+// listing is a listing of the instances, page by page.
+type listing struct {
+	startedAt time.Time
+	instances []provider.Instance
+}
+
+// listInstances reads the page of the list that follows the host after.
+func (a *Autoscaler) listInstances(l *listing, after string) {
 	a.scope.CallCloud(provider.Request{Op: provider.List, After: after}, func(r provider.Response) {
 		if r.Outcome != rpc.OK {
 			a.scope.After(a.Jitter(listInterval), a.ListInstances)
 			return
 		}
-		listed = append(listed, r.Instances...)
-		if r.More && len(listed) < maxListed {
-			a.listInstances(r.Instances[len(r.Instances)-1].Host, listed)
+		l.instances = append(l.instances, r.Instances...)
+		if r.More && len(l.instances) < maxListed {
+			a.listInstances(l, r.Instances[len(r.Instances)-1].Host)
 			return
 		}
-		for _, i := range listed {
-			a.inventory.InstanceListed(i)
-		}
+		a.applyListing(l, !r.More)
 		a.scope.After(listInterval, a.ListInstances)
 	})
 }
 
+func (a *Autoscaler) applyListing(l *listing, complete bool) {
+	listed := map[string]bool{}
+	for _, i := range l.instances {
+		a.inventory.InstanceListed(i)
+		listed[i.Host] = true
+	}
+	if complete {
+		exists := func(host string) bool { return listed[host] }
+		a.inventory.InstancesMissing(exists, l.startedAt.Add(-maxListLagFactor*a.listLag))
+	}
+}
+
 type releases struct {
 	toRelease       []string // hosts whose release the cloud has not confirmed
 	releaseInFlight bool
--- a/internal/core/autoscaler.go
+++ b/internal/core/autoscaler.go
@@ -24,6 +24,7 @@
 		Teams:         c.leadership.teams,
 		InstanceTypes: slices.Clone(c.gateway.InstanceTypes()),
 		CloudRPS:      c.cfg.Settings.Cloud.RPS,
+		ListLag:       c.cfg.Settings.Cloud.ListLag.Duration(),
 	})
 }
 
@@ -105,6 +106,13 @@
 	}
 }
 
+// InstancesMissing implements autoscaler.Inventory.
+func (i autoscalerInventory) InstancesMissing(exists func(host string) bool, asOf time.Time) {
+	for _, m := range i.c.leadership.inventory.Machines() {
+		m.Gone = m.FirstSeen.Before(asOf) && !exists(m.Host)
+	}
+}
+
 // setRentedAt also sets when the machine should be ready, if its type is known.
 func setRentedAt(m *fleet.Machine, at time.Time) {
 	m.RentedAt = at
--- a/internal/core/zones_test.go
+++ b/internal/core/zones_test.go
@@ -103,3 +103,41 @@
 		t.Errorf("silence limit %v after reporting through another node, want the base limit", d)
 	}
 }
+
+// TestGoneMachinesOfLostZone guards against a zone that stays lost because machines that no longer
+// exist are kept to show its return: those that the cloud no longer lists are released, others kept.
+func TestGoneMachinesOfLostZone(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		listed   bool
+		asOf     time.Duration // relative to when the machines were first seen
+		released int
+	}{
+		{"no longer listed", false, time.Second, 4},
+		{"listed", true, time.Second, 0},
+		{"not listed yet", false, -time.Second, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newTwoZoneLeader(t, 4)
+			advanceWithoutZoneA(c, 40*time.Second)
+			if z := c.leadership.outages.Zones.Zone("a"); z.State != zones.Lost {
+				t.Fatal("want a lost zone, got", z.State)
+			}
+			firstSeen := c.leadership.inventory.Machines()[0].FirstSeen
+			exists := func(host string) bool {
+				return test.listed || c.leadership.inventory.Find(host).Zone == "b"
+			}
+			autoscalerInventory{c}.InstancesMissing(exists, firstSeen.Add(test.asOf))
+			advanceWithoutZoneA(c, time.Second)
+			released := 0
+			for _, m := range c.leadership.inventory.Machines() {
+				if m.Releasing {
+					released++
+				}
+			}
+			if released != test.released {
+				t.Errorf("%d machines are being released, want %d", released, test.released)
+			}
+		})
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -102,6 +102,7 @@
 	Draining       bool      // accepts no new tasks and is released once its tasks have ended
 	ReturnedAt     time.Time // when a job last needed it although it was draining
 	InterruptionAt time.Time // announced time of the spot interruption; zero if none
+	Gone           bool      // the cloud no longer lists it
 }
 
 // Load holds the tasks and reservations on a machine.
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -135,35 +135,47 @@
 	}
 }
 
-// handleLostZones starts due probes and releases silent machines beyond KeepCount, the most
-// expensive first.
+// handleLostZones starts due probes and releases silent machines of unreachable zones: those that no
+// longer exist, which cannot show the zone's return, and those beyond KeepCount, the most expensive
+// first.
 func (o *Monitor) handleLostZones() {
 	for _, z := range o.Zones.All() {
 		if z.StartProbeIfDue(o.engine.Now) {
 			o.engine.Log(slog.LevelInfo, "probing lost zone, requesting one instance", "zone", z.Name)
 			o.leader.RequestProbe(z.Name)
 		}
-		excess := z.Counts.Silent - z.KeepCount(o.engine.Now)
-		if !z.Unreachable() || excess <= 0 {
+		if !z.Unreachable() {
 			continue
 		}
-		releasable := o.releasableMachines(z)
-		for _, m := range releasable[:min(excess, len(releasable))] {
-			o.engine.Log(slog.LevelInfo, "releasing silent machine of lost zone", "machine", m.Host, "zone", z.Name, "silent", o.engine.Now.Sub(m.LastHeartbeat))
+		excess := z.Counts.Silent - z.KeepCount(o.engine.Now)
+		for _, m := range o.releasableMachines(z) {
+			if !m.Gone && excess <= 0 {
+				continue
+			}
+			excess--
+			o.engine.Log(slog.LevelInfo, "releasing silent machine of lost zone", "machine", m.Host, "zone", z.Name, "silent", o.engine.Now.Sub(m.LastHeartbeat), "gone", m.Gone)
 			o.leader.Release(m)
 		}
 	}
 }
 
-// releasableMachines returns the silent machines of an unreachable zone that may be released, the
-// most expensive first.
+// releasableMachines returns the silent machines of an unreachable zone that may be released: those
+// that are gone, then the most expensive first.
 func (o *Monitor) releasableMachines(z *zones.Zone) (list []*fleet.Machine) {
 	for _, m := range o.leader.Machines() {
 		if m.ZoneState == z && m.Unreachable && !m.Releasing && !m.LastHeartbeat.IsZero() && m.InstanceType != nil {
 			list = append(list, m)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *fleet.Machine) int { return cmp.Compare(b.PricePerCPU(), a.PricePerCPU()) })
+	slices.SortStableFunc(list, func(a, b *fleet.Machine) int {
+		switch {
+		case a.Gone && !b.Gone:
+			return -1
+		case b.Gone && !a.Gone:
+			return 1
+		}
+		return cmp.Compare(b.PricePerCPU(), a.PricePerCPU())
+	})
 	return list
 }
 
