A job does not wait for a machine with its image that may not start it

The same cause on a related path: a machine without a job's image leaves the job to the machine that it is reserved on, if that has the image and free resources. It may be on probation, have rejected a start, be in a zone that starts nothing yet, have failed the job, or keep its free capacity for latency-sensitive jobs; in the last case the job waited for as long as bursts kept coming, at most until it counted as starved.

TestImageOnBlockedMachine failed before in four of five cases.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -203,7 +203,24 @@
 	return slices.ContainsFunc(m.Reservations, func(r *Reservation) bool { return r.Job == j })
 }
 
-// CanStartNow reports whether the machine has the job's image and enough free resources for a task.
-func (m *Machine) CanStartNow(j *Job) bool {
-	return m.Reported && m.Schedulable() && m.Images.Contains(j.Spec.Image) && j.Need.Fits(m.FreeResources())
+// WithheldCPU returns how many millicores of the machine the job may not use because they are kept
+// free for latency-sensitive jobs. A job that needs more than the rest of the machine may use all.
+func (m *Machine) WithheldCPU(j *Job) int64 {
+	if j.LatencySensitive || j.Need.CPU > m.Timeline.Capacity().CPU-m.WarmReserve {
+		return 0
+	}
+	return m.WarmReserve
+}
+
+// CanStartNow reports whether the machine has the job's image and may start a task of it now.
+func (m *Machine) CanStartNow(j *Job, now time.Time) bool {
+	if !m.Reported || !m.EligibleFor(j, now) || !m.Images.Contains(j.Spec.Image) {
+		return false
+	}
+	if m.AwaitsTrial(now) || now.Before(m.RetryAt) || !m.ZoneState.AllowsTaskStarts() {
+		return false
+	}
+	free := m.FreeResources()
+	free.CPU -= m.WithheldCPU(j)
+	return j.Need.Fits(free)
 }
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	for _, r := range j.Reservations[:min(len(j.Reservations), maxReservationsScanned)] {
-		if r.Machine == nil || r.Machine == m || !r.Machine.CanStartNow(j) {
+		if r.Machine == nil || r.Machine == m || !r.Machine.CanStartNow(j, s.now()) {
 			return r
 		}
 	}
--- a/internal/placement/probation_test.go
+++ b/internal/placement/probation_test.go
@@ -135,3 +135,32 @@
 		t.Errorf("%d tasks started, want 1", starts)
 	}
 }
+
+// TestImageOnBlockedMachine guards against a job that waits for a machine with its image which may
+// not start it, while another machine has room.
+func TestImageOnBlockedMachine(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		block  func(c *cluster, m *fleet.Machine, j *fleet.Job)
+		starts int
+	}{
+		{"not blocked", func(*cluster, *fleet.Machine, *fleet.Job) {}, 0},
+		{"awaits a trial", func(c *cluster, m *fleet.Machine, _ *fleet.Job) { m.RecordFailure(1, c.engine.Now) }, 1},
+		{"has rejected a start", func(c *cluster, m *fleet.Machine, _ *fleet.Job) { m.RetryAt = c.engine.Now.Add(time.Second) }, 1},
+		{"job has failed there", func(c *cluster, m *fleet.Machine, j *fleet.Job) { j.RecordFailure(m.Host, c.engine.Now) }, 1},
+		{"capacity is kept free", func(c *cluster, m *fleet.Machine, _ *fleet.Job) {
+			m.WarmReserve = m.FreeResources().CPU
+		}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, m := newServiceMachine()
+			other := newCluster(3).machines[1]
+			j := c.addPending("wk-000010", 1)
+			c.machines = append(c.machines, other)
+			test.block(c, m, j)
+			if starts := len(c.StartTasksOn(other)); starts != test.starts {
+				t.Errorf("%d tasks started on the machine without the image, want %d", starts, test.starts)
+			}
+		})
+	}
+}
--- a/internal/placement/starts.go
+++ b/internal/placement/starts.go
@@ -172,13 +172,10 @@
 	return nextJob
 }
 
-// freeFor returns the free resources that the job may use: warm capacity only if it is
-// latency-sensitive or needs more than the rest of the machine.
+// freeFor returns the free resources that the job may use.
 func (f *startPass) freeFor(j *fleet.Job) timeline.Resources {
-	free, reserve := f.free, f.machine.WarmReserve
-	if !j.LatencySensitive && j.Need.CPU <= f.machine.Timeline.Capacity().CPU-reserve {
-		free.CPU -= reserve
-	}
+	free := f.free
+	free.CPU -= f.machine.WithheldCPU(j)
 	return free
 }
 
