--- a/internal/autoscaler/boot.go
+++ b/internal/autoscaler/boot.go
@@ -20,7 +20,8 @@
 )
 
 // BootTimeout returns how long after the request a machine may take to send its first heartbeat
-// before it is considered failed.
+// before it is considered failed. Some machines take several times as long as usual to boot, and a
+// few never come up.
 func (a *Autoscaler) BootTimeout(m *fleet.Machine) time.Duration {
 	boot := defaultBootTime
 	if m.InstanceType != nil {
--- a/internal/autoscaler/instances.go
+++ b/internal/autoscaler/instances.go
@@ -12,7 +12,7 @@
 const (
 	listInterval = 6 * time.Second
 	// maxListed bounds the instances read per listing, in case the cloud always reports another
-	// page.
+	// page. No fleet comes near it.
 	maxListed          = 100_000
 	maxReleasesPerCall = 100
 	// maxListLagFactor times the usual lag is the largest lag of the cloud's list.
--- a/internal/calendar/calendar.go
+++ b/internal/calendar/calendar.go
@@ -25,7 +25,7 @@
 )
 
 // countries maps ISO 3166 codes to public holidays. Each country adds start-up time and
-// memory.
+// memory, so only those that the documentation names are included.
 var countries = map[string]*[]*cal.Holiday{
 	"BG": &bg.Holidays,
 	"DE": &de.Holidays,
--- a/internal/calendar/rule.go
+++ b/internal/calendar/rule.go
@@ -25,7 +25,7 @@
 
 const (
 	// horizonYears limits the search for a date. The rarest useful rule, 29 February on a
-	// given weekday, recurs within 40 years.
+	// given weekday, recurs within 40 years, also across a century year without a leap day.
 	horizonYears = 50
 	// cacheLookback is how many days before the requested date the cache begins, rounded
 	// down to the beginning of a period.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,7 +123,7 @@
 const maxNumber = 1e8
 
 // inRange reports whether value is in [0, maxNumber]. It rejects NaN and infinity, which TOML
-// allows.
+// allows and which would have no effect as a limit.
 func inRange(value float64) bool { return value >= 0 && value <= maxNumber }
 
 type numericField struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -189,7 +189,8 @@
 }
 
 // readyLinkLossGrace is how long a node stays ready after it lost its link to the leader. It is
-// longer than a change of leader takes.
+// longer than a change of leader takes. Without the link the node can only reject
+// submissions, so clients are better served by other nodes.
 const readyLinkLossGrace = 4 * time.Second
 
 // HasAuthority reports whether the node is the leader and may act at the given time: its lease has
--- a/internal/dispatch/replies.go
+++ b/internal/dispatch/replies.go
@@ -132,7 +132,8 @@
 const MaxPaceDelay = 2500 * time.Millisecond
 
 // paceDelay returns how long the held reply of a machine has to be delayed to keep its worker
-// within Pacing.BytesPerSecond, since a worker sends the next heartbeat only after the reply.
+// within Pacing.BytesPerSecond, since a worker sends the next heartbeat only after the reply, and
+// one with many tasks always has changes to report.
 // Replies with stop orders are never delayed.
 func (d *Dispatcher) paceDelay(m *fleet.Machine, orders []heartbeat.Order) time.Duration {
 	budget := d.Pacing.BytesPerSecond
--- a/internal/election/watch.go
+++ b/internal/election/watch.go
@@ -29,7 +29,8 @@
 		return
 	}
 	// List returns the revision of the whole store, from which the watch starts. The key's own
-	// revision may be compacted: such a watch fails immediately, and the retries of all nodes
+	// revision may be compacted, as the store keeps only the last 10,000 changes: such a
+	// watch fails immediately, and the retries of all nodes
 	// would overload the store.
 	lastRef := e.engine.LastRef
 	e.engine.CallStore(kv.Request{Op: kv.List, Key: record.LeaderKey, Limit: 1}, func(r kv.Response) {
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -11,7 +11,8 @@
 	"yewpass/internal/timeline"
 )
 
-// Runtimes holds the average ratio of observed to estimated runtimes by class and owner.
+// Runtimes holds the average ratio of observed to estimated runtimes by class and owner. It keeps
+// only the most recently used ones, since users choose the names of classes.
 type Runtimes struct {
 	*lru.Cache[string, *MovingAverage]
 }
--- a/internal/gateway/leaderless.go
+++ b/internal/gateway/leaderless.go
@@ -27,8 +27,10 @@
 // leader can have started its tasks, since its authority ended before that election. A leader
 // elected later loads the record with all others.
 const (
-	leaderlessWriteShare = 0.1 // of the store's write rate
-	leaderlessBurstShare = 0.5 // of one second's writes, over all controllers
+	leaderlessWriteShare = 0.1 // of the store's write rate, of which a leader uses up to nine tenths
+	// leaderlessBurstShare is the share of one second's writes, over all controllers, which together
+	// stay below the burst that the store allows.
+	leaderlessBurstShare = 0.5
 	// instanceTypesInterval is how often controllers other than the leader read the instance
 	// types.
 	instanceTypesInterval     = time.Minute
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -23,7 +23,7 @@
 	byHost       map[string]*fleet.Machine
 	machines     []*fleet.Machine // sorted by host name
 	released     expiringset.Set  // known to be terminated; delayed heartbeats are ignored
-	unaccounted  map[string]bool  // hosts, and keys of unreadable records
+	unaccounted  map[string]bool  // hosts, and keys of unreadable records, that may stand for tasks of an earlier term
 	places       *topology.Tree
 	zones        *zones.Tracker
 	instanceType func(name string) *provider.InstanceType
--- a/internal/lifecycle/records.go
+++ b/internal/lifecycle/records.go
@@ -18,7 +18,7 @@
 
 // ScheduleProgressWrite schedules a write of the progress of the task's chunk. At most one write
 // per chunk is queued; its value is determined when it is sent and includes all completions up to
-// then.
+// then, so slow writes do not pile up. The final record makes most progress writes unnecessary.
 func (m *Manager) ScheduleProgressWrite(j *fleet.Job, task int) {
 	chunk := task / bitset.ChunkSize
 	if j.DirtyChunks[chunk] {
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -56,7 +56,7 @@
 }
 
 // maxReservationsScanned bounds how many reservations of a job are examined for a machine that
-// lacks its image.
+// lacks its image. If there are more, many tasks are about to start where they are reserved.
 const maxReservationsScanned = 17
 
 // nextReservationFor returns the job's first reservation that the machine may serve, or nil. A
--- a/internal/placement/objectives.go
+++ b/internal/placement/objectives.go
@@ -36,7 +36,8 @@
 }
 
 // earlyFinishPercent is the percentage of the time allowed by a "finished" objective that is tried
-// as a deadline first, because the slowest tasks of a large array would miss the objective if they
+// as a deadline first, because the slowest tasks of a large array, which take twice as long as most,
+// would miss the objective if they
 // started as late as possible. Idle jobs have no early deadline.
 const earlyFinishPercent = 60
 
--- a/internal/placement/reservations.go
+++ b/internal/placement/reservations.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// reservationWindow bounds how many pending tasks of a job have reservations at a time.
+	// reservationWindow bounds how many pending tasks of a job have reservations at a time, so that
+	// an array of 100,000 tasks costs no more than a large one.
 	reservationWindow = 256
 	// maxVisitsPerStep bounds how many machines are searched for slots in one step. After a
 	// failover or the loss of a zone, reserving for all jobs in one step could outlast the leader
--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -144,7 +144,7 @@
 		return spec.CheckpointTime, true
 	}
 	if a.StartTimeUnknown {
-		return 0, false // the elapsed runtime is unknown after a failover
+		return 0, false // unknown after a failover: to a new leader all tasks seem to have just started
 	}
 	loss := s.Now.Sub(a.StartedAt)
 	if spec.Service {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -1,8 +1,9 @@
 // Package probe sends workers a new leader's fencing token and collects their reports.
 //
 // Probes speed up a failover: tasks accepted in earlier terms cannot start until every machine that
-// may hold one is accounted for. A probe is a command without orders. A worker that answers it
-// rejects commands of earlier leaders from then on.
+// may hold one is accounted for, and workers find a new leader by themselves only over a heartbeat
+// interval and the time that redirects take. A probe is a command without orders. A worker that
+// answers it rejects commands of earlier leaders from then on.
 package probe
 
 import (
--- a/internal/recovery/merge.go
+++ b/internal/recovery/merge.go
@@ -53,7 +53,7 @@
 		switch {
 		case !found:
 			put(key, replicated.Value, 0)
-		case schema.Machines(key): // keep both lists
+		case schema.Machines(key): // keep both lists: either may name machines that the other lacks
 			if storedIsOlder {
 				put(key+"~", replicated.Value, 0)
 			}
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -32,6 +32,7 @@
 		}
 		return o
 	}
+	// In a new era the store's revisions may have restarted; terms must not.
 	return Observed{Era: era, Term: term, ProcessID: processID, HighestPastTerm: max(o.HighestPastTerm, o.Term)}
 }
 
--- a/internal/relay/text.go
+++ b/internal/relay/text.go
@@ -11,7 +11,8 @@
 )
 
 // Each list of tasks or orders is encoded as one string, which the leader decodes faster than JSON
-// objects. Fields are separated by spaces and list members by commas, and names are escaped as in a
+// objects: those would cost it more to decode than to process, and a large fleet sends a hundred
+// thousand of them after a change of leader. Fields are separated by spaces and list members by commas, and names are escaped as in a
 // URL query.
 
 var errMalformedList = errors.New("malformed list of tasks or orders")
--- a/internal/replication/replicas.go
+++ b/internal/replication/replicas.go
@@ -24,7 +24,7 @@
 	snapshotInterval  = 100 * time.Millisecond // between two lines of a snapshot
 	recordsPerLine    = 200                    // for one transfer, or shared by all incomplete followers
 	maxLineBytes      = 96 << 10               // well below a peer's limit
-	finalRecordsPerMB = 40                     // per MB of memory
+	finalRecordsPerMB = 40                     // per MB of memory; a record takes about 250 bytes
 )
 
 // Controller is the view that replication has of its controller.
--- a/internal/writebatch/limits.go
+++ b/internal/writebatch/limits.go
@@ -8,7 +8,8 @@
 	"yewpass/internal/config"
 )
 
-// ConfigShare is the fraction of the store's write rate that is reserved for configuration changes.
+// ConfigShare is the fraction of the store's write rate that is reserved for configuration changes,
+// so that bursts of submissions and of configuration changes do not delay each other.
 const ConfigShare = 0.15
 
 // Fractions of the store's rate limits that the leader's batches may use.
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -66,7 +66,7 @@
 	OutageSince     time.Time     // start of the latest outage
 	maxSilent       int           // maximum of Counts.Silent during that outage
 	relapses        int
-	suppressedUntil time.Time // not Doubtful before this time
+	suppressedUntil time.Time // not Doubtful before this time, as part of the zone was silent for long
 	probedAt        time.Time
 	settings        *Settings
 }
