--- a/internal/scenario/script_actions.go
+++ b/internal/scenario/script_actions.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// actCancel handles "cancel ID" and "cancel first N": users cancel jobs.
+// actCancel handles "cancel ID", also of the job of an occurrence, and "cancel first N": users cancel
+// jobs.
 func (s *script) actCancel(f []string) {
 	w := s.world
 	if f[1] == "first" {
@@ -128,7 +129,7 @@
 		}
 		return
 	}
-	w.cancel(w.jobs[f[1]])
+	w.cancel(w.describedJob(f[1]))
 }
 
 // actCrash handles "crash NODE|all [back=D]": processes are killed and restart after D.
