--- a/internal/fleet/failures.go
+++ b/internal/fleet/failures.go
@@ -9,10 +9,12 @@
 	// exclusionTime is how long a job excludes a machine on which one of its tasks has failed. It is
 	// bounded because the machine may be the only one that fits, and may have recovered.
 	exclusionTime = 30 * time.Second
-	// trialInterval is the time between two starts on a machine on probation that has other tasks,
-	// and between two rounds of starts of a job that has had a failure and has other tasks. Those
-	// may never end, as the tasks of services do not.
+	// trialInterval is the time between two starts on a machine on probation that has other tasks.
+	// Those may never end, as the tasks of services do not.
 	trialInterval = 15 * time.Second
+	// roundInterval is the time between two rounds of starts of a job that has had a failure and has
+	// other tasks.
+	roundInterval = 5 * time.Second
 	// trialRuntime is the runtime after which a task started since the last failure shows that the
 	// machine works.
 	trialRuntime = 10 * time.Second
@@ -28,6 +30,8 @@
 	LastFailure time.Time
 	LastStart   time.Time // when a task was last started
 	RetryAt     time.Time // no task starts before this time
+	roundStart  time.Time // when the last round of starts after a failure began
+	roundLeft   int       // starts left in that round
 }
 
 // NewFailureHistory returns a history without failures.
@@ -55,22 +59,35 @@
 		h.FailedOn[host] = now
 	}
 	h.Failures++
-	h.LastFailure = now
+	h.LastFailure, h.roundLeft = now, 0
 }
 
 // LimitStarts returns how many of n tasks of the job may start now. After a failure the job may be
-// at fault, so until one of its tasks completes it may start one if it has none, and in each
-// trialInterval as many as are running.
+// at fault, so until one of its tasks completes it may start one if it has none, and in each round
+// as many as are running at its beginning.
 func (j *Job) LimitStarts(n int, now time.Time) int {
 	switch {
 	case j.Failures == 0 || j.AnyCompleted:
 		return n
 	case len(j.Attempts) == 0:
 		return min(n, 1)
-	case now.Sub(latest(j.LastFailure, j.LastStart)) < trialInterval:
-		return 0
+	case j.roundIsDue(now):
+		return min(n, max(1, j.Running))
 	}
-	return min(n, max(1, j.Running))
+	return min(n, j.roundLeft)
+}
+
+// RecordStart records that a task of the job is started. Call it before the attempt is added.
+func (j *Job) RecordStart(now time.Time) {
+	j.LastStart = now
+	if j.roundIsDue(now) {
+		j.roundStart, j.roundLeft = now, max(1, j.Running)
+	}
+	j.roundLeft = max(0, j.roundLeft-1)
+}
+
+func (j *Job) roundIsDue(now time.Time) bool {
+	return now.Sub(latest(j.LastFailure, j.roundStart)) >= roundInterval
 }
 
 // Probation is the state of a machine on which a task has failed. Until one of its tasks completes,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -208,9 +208,9 @@
 		{"no failure", 0, false, 2, 2, 0, 9},
 		{"completed one", 1, true, 2, 2, 0, 9},
 		{"without attempts", 1, false, 0, 0, 0, 1},
-		{"too early", 1, false, 2, 2, trialInterval - 1, 0},
-		{"none running", 1, false, 2, 0, trialInterval, 1},
-		{"some running", 1, false, 4, 4, trialInterval, 4},
+		{"too early", 1, false, 2, 2, roundInterval - 1, 0},
+		{"none running", 1, false, 2, 0, roundInterval, 1},
+		{"some running", 1, false, 4, 4, roundInterval, 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			j := newJob()
@@ -221,6 +221,17 @@
 			if got := j.LimitStarts(9, t0.Add(test.after)); got != test.want {
 				t.Errorf("LimitStarts(9) = %d, want %d", got, test.want)
 			}
+			if test.failures == 0 || test.completed {
+				return
+			}
+			started := 0 // one by one in the same round
+			for ; started < 9 && j.LimitStarts(1, t0.Add(test.after)) > 0; started++ {
+				j.RecordStart(t0.Add(test.after))
+				j.Attempts[10+started] = &Attempt{}
+			}
+			if started != test.want {
+				t.Errorf("%d tasks started one by one, want %d", started, test.want)
+			}
 		})
 	}
 }
--- a/internal/placement/starts.go
+++ b/internal/placement/starts.go
@@ -243,7 +243,8 @@
 		Machine: m, Phase: fleet.Ordered, OrderedCounter: m.Counter, OrderedAt: s.now(),
 	}
 	m.Attempts = append(m.Attempts, a)
-	m.LastStart, j.LastStart = s.now(), s.now()
+	m.LastStart = s.now()
+	j.RecordStart(s.now())
 	s.Allocate(a, j)
 	return heartbeat.Order{Verb: heartbeat.Start, Task: a.ID, Attempt: a.Number}
 }
