--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -33,12 +33,18 @@
 // requestForUnplaceableJob requests instances for the first job for which no machine will have room.
 // It returns false if such a job exists and no request could be sent.
 func (a *Autoscaler) requestForUnplaceableJob() bool {
+	draining := a.drainingMachines()
 	for _, j := range a.state.Queue() {
-		if j.Reservations[0].Machine != nil || j.Halted() || a.hasMachineFor(j) {
+		if j.Reservations[0].Machine != nil || j.Halted() {
 			continue
 		}
-		if !a.zoneAllowsRental(j.Spec.Zone) || a.returnToService(a.drainingMachines(), j) {
-			continue // must not block requests for other jobs
+		// A job whose zone allows no rental must not block requests for other jobs.
+		if !a.zoneAllowsRental(j.Spec.Zone) || a.hasMachineFor(j) {
+			continue
+		}
+		if a.returnToService(draining, j) {
+			draining = a.drainingMachines()
+			continue
 		}
 		return a.requestInstances(requirement{spec: &j.Spec, cpus: float64(min(j.Waiting, maxUnplaceableTasks)) * j.Spec.CPUs, urgent: true})
 	}
