--- a/internal/fleet/failures.go
+++ b/internal/fleet/failures.go
@@ -113,7 +113,10 @@
 // RecordRunning ends the probation if the attempt, which is reported as running, shows that the
 // machine works. The failures still count, as tasks may fail later than that.
 func (h *Health) RecordRunning(a *Attempt, now time.Time) {
-	if h.OnProbation && !a.OrderedAt.Before(h.LastFailure) && now.Sub(a.StartedAt) >= trialRuntime {
+	if a.StartedAt.IsZero() || a.OrderedAt.Before(h.LastFailure) {
+		return
+	}
+	if now.Sub(a.StartedAt) >= trialRuntime {
 		h.OnProbation = false
 	}
 }
