--- a/internal/autoscaler/scale_in.go
+++ b/internal/autoscaler/scale_in.go
@@ -70,10 +70,8 @@
 
 // stopDraining returns draining machines to service, except those being released.
 func (a *Autoscaler) stopDraining() {
-	for _, m := range a.state.Machines() {
-		if m.Draining && !m.Releasing {
-			m.Draining = false
-		}
+	for _, m := range a.drainingMachines() {
+		m.Draining = false
 	}
 }
 
--- a/internal/placement/starts.go
+++ b/internal/placement/starts.go
@@ -87,7 +87,7 @@
 func (f *startPass) startStarved() {
 	m := f.machine
 	for _, j := range f.starved {
-		if len(j.Reservations) == 0 || len(j.Attempts) > 0 || !m.EligibleFor(j, f.now()) || !f.MayStart(j) || j.Team.TasksWithinLimit(j.Need, 1) == 0 || f.topologyLimit(j, m, 1) == 0 ||
+		if len(j.Reservations) == 0 || len(j.Attempts) > 0 || !m.EligibleFor(j, f.now()) || !f.MayStartOn(j, m) ||
 			f.AnyGuarantee && j.Team.TasksWithinGuarantee(j.Need, 1) == 0 || m.AwaitsTrial(f.now()) {
 			continue
 		}
