--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -318,6 +318,13 @@
 	return resp.StatusCode, string(data)
 }
 
+// submission is the body of a user's submission of an array.
+func submission(id string, shards int, vcpus, memGB float64) string {
+	return fmt.Sprintf(`{"id":%q,"jobclass":"meterread-sweep","owner":"grid-analytics","shape":"array","urgency":"standard","shards":%d,"vcpus":%g,"gpus":0.0,"memGb":%g,`+
+		`"bundle":"img-07","sizeGb":0.5,"flavors":null,"hall":null,"samePlace":false,"apart":false,"reclaimable":true,"runtimeS":20.0,"snapshotEveryS":0.0,"snapshotS":0.0,"dueS":null}`,
+		id, shards, vcpus, memGB)
+}
+
 // wait waits until f holds, at most d, and reports whether it does.
 func wait(d time.Duration, f func() bool) bool {
 	for end := time.Now().Add(d); ; time.Sleep(100 * time.Millisecond) {
