--- a/review/standin2/chaos.go
+++ b/review/standin2/chaos.go
@@ -72,7 +72,7 @@
 	go func() {
 		defer wg.Done()
 		for n := 1; time.Now().Before(stop); n++ {
-			j := &cjob{id: fmt.Sprintf("wk-%06d", n), owner: []string{"a", "b", "c"}[rng.IntN(3)], shards: 1 + rng.IntN(6), vcpus: float64(1 + rng.IntN(4)), mem: 2,
+			j := &cjob{id: fmt.Sprintf("wk-%06d", n), owner: []string{"a", "b", "c"}[rng.IntN(3)], shards: 1 + rng.IntN(1+rng.IntN(6)), vcpus: float64(1 + rng.IntN(4)), mem: 2,
 				service: rng.IntN(4) == 0, spot: rng.IntN(2) == 0, on: map[string]string{}}
 			if rng.IntN(4) == 0 {
 				j.hall = halls[rng.IntN(3)]
@@ -92,7 +92,7 @@
 			if j.service && float64(j.shards)*j.vcpus > 20 {
 				j.shards = 2
 			}
-			run := time.Duration(3+rng.IntN(12)) * time.Second
+			run := time.Duration(500+rng.IntN(9000)) * time.Millisecond
 			if j.service {
 				run = 0
 			}
@@ -104,7 +104,7 @@
 			c.mu.Unlock()
 			wg.Add(1)
 			go func(s uint64) { defer wg.Done(); c.user(j, rand.New(rand.NewPCG(s, uint64(n))), run) }(rng.Uint64())
-			time.Sleep(time.Duration(500+rng.IntN(1500)) * time.Millisecond)
+			time.Sleep(time.Duration(200+rng.IntN(900)) * time.Millisecond)
 		}
 	}()
 	if trouble {
@@ -191,6 +191,7 @@
 		switch {
 		case st == 200 || st == 201:
 			j.accepted = true
+			c.lookClosely(j, string(b), "")
 		case st == 400 || st == 422:
 			c.world.rec.add("%s refused %d: %s", j.id, st, b)
 			if st == 400 {
@@ -207,7 +208,7 @@
 	j.lastOK = time.Now()
 	cancelAt := time.Time{}
 	if j.service || rng.IntN(4) == 0 {
-		cancelAt = time.Now().Add(time.Duration(rng.IntN(35000)) * time.Millisecond)
+		cancelAt = time.Now().Add(time.Duration(rng.IntN(1+rng.IntN(35000))) * time.Millisecond)
 	}
 	final := ""
 	for time.Now().Before(c.ends) {
@@ -217,6 +218,7 @@
 			if st == 200 {
 				cancelAt = time.Time{}
 				final = c.status(body)
+				c.lookClosely(j, string(b), final)
 				if final == "cancelled" {
 					c.mu.Lock()
 					j.toldCancelled = time.Now()
@@ -246,6 +248,9 @@
 					}
 					c.world.mu.Unlock()
 				}
+				if final == "" {
+					c.lookClosely(j, string(b), s)
+				}
 				final = s
 				j.done = s == "done"
 				if s == "cancelled" && j.toldCancelled.IsZero() {
@@ -267,6 +272,32 @@
 	}
 }
 
+// lookClosely asks at all controllers, again and again within milliseconds, right after a user was told
+// something: no answer may be older than that.
+func (c *chaos) lookClosely(j *cjob, body, final string) {
+	var wg sync.WaitGroup
+	for _, p := range c.controllers {
+		for k := range 5 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				time.Sleep(time.Duration(k) * 7 * time.Millisecond)
+				st, answer := 0, ""
+				if k == 4 {
+					st, answer = c.quiet(p, "POST", "/v2/runs", body)
+				} else {
+					st, answer = c.quiet(p, "GET", "/v2/runs/"+j.id, "")
+				}
+				s := c.status(answer)
+				if st == 404 || st == 400 || st == 422 || st == 201 && k == 4 || st == 200 && final != "" && s != final || st == 200 && s == "cancelled" && !j.askedCancel {
+					c.bad("close look at %s, known as %q: %d %s at %s", j.id, final, st, short(answer), p.name)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+}
+
 func (c *chaos) status(body string) string {
 	var v struct{ Status string }
 	json.Unmarshal([]byte(body), &v)
@@ -318,6 +349,27 @@
 		time.Sleep(d)
 		c.links[[2]int{i, j}].allow()
 		c.links[[2]int{j, i}].allow()
+	case "oneway":
+		j := (i + 1 + r%2) % 3
+		c.links[[2]int{i, j}].refuse()
+		time.Sleep(3 * d)
+		c.links[[2]int{i, j}].allow()
+	case "onewayall": // the controller has no free sockets
+		for a := range 3 {
+			if a != i {
+				c.links[[2]int{a, i}].refuse()
+			}
+		}
+		time.Sleep(3 * d)
+		for a := range 3 {
+			if a != i {
+				c.links[[2]int{a, i}].allow()
+			}
+		}
+	case "slow":
+		c.state.setSlow(time.Duration(r%1200) * time.Millisecond)
+		time.Sleep(d)
+		c.state.setSlow(0)
 	case "alllinks":
 		for a := range 3 {
 			for b := range a {
--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -44,11 +44,20 @@
 	machines map[string]*rented
 	rentals  map[string][]string
 	count    int
-	capacity int // machines that may exist at once
+	capacity int             // machines that may exist at once
+	full     map[string]bool // zones without capacity
+	refused  int             // requests for these zones
 }
 
 func newCloud(w *world, flavors []flavor, capacity int) *cloud {
-	return &cloud{world: w, flavors: flavors, machines: map[string]*rented{}, rentals: map[string][]string{}, capacity: capacity}
+	return &cloud{world: w, flavors: flavors, machines: map[string]*rented{}, rentals: map[string][]string{}, capacity: capacity, full: map[string]bool{}}
+}
+
+// setFull leaves a zone without capacity.
+func (c *cloud) setFull(hall string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.full[hall] = true
 }
 
 // ServeHTTP serves the cloud's protocol.
@@ -116,6 +125,12 @@
 		writeBody(w, 200, map[string]any{"hosts": hosts})
 		return
 	}
+	if c.full[b.Hall] {
+		c.refused++
+		c.world.rec.add("cloud: no capacity for %d %s in %s", b.HowMany, b.Flavor, b.Hall)
+		writeBody(w, 503, map[string]string{"error": "no capacity"})
+		return
+	}
 	n := min(b.HowMany, c.capacity-c.running())
 	if n <= 0 {
 		writeBody(w, 503, map[string]string{"error": "no capacity"})
--- a/review/standin2/state.go
+++ b/review/standin2/state.go
@@ -50,7 +50,8 @@
 
 	down    bool
 	refused map[string]bool // controllers that get 503
-	late    float64         // share of transactions without an answer, that are carried out late
+	slow    time.Duration
+	late    float64 // share of transactions without an answer, that are carried out late
 }
 
 func newStateService() *stateService {
@@ -149,6 +150,7 @@
 		if err != nil {
 			return
 		}
+		s.pause()
 		if r.URL.Path == "/multi" && s.isLate() {
 			s.multiLate(node, r, body)
 			return
@@ -179,6 +181,22 @@
 	})
 }
 
+// setSlow makes every answer take up to twice that long, half of it before the request is carried out.
+func (s *stateService) setSlow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
+func (s *stateService) pause() {
+	s.mu.Lock()
+	d := s.slow
+	s.mu.Unlock()
+	if d > 0 {
+		time.Sleep(time.Duration(rand.Int64N(int64(2 * d))))
+	}
+}
+
 func (s *stateService) setLate(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
