--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -131,13 +131,19 @@
 	return nil, fmt.Errorf("deploy/service.toml has no %s line", name)
 }
 
-// ownAddress is a loopback address of this process alone, so that cases that are played at once do
-// not take each other's ports.
-var ownAddress = fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()>>16%100, os.Getpid()>>8&255, max(1, os.Getpid()&255))
+// ownAddress and controllerAddress are loopback addresses of this process alone, so that cases that
+// are played at once do not take each other's ports. No stand-in listens on that of the controllers, whose
+// ports have to be free whenever they start.
+var ownAddress, controllerAddress = loopbackAddress(40), loopbackAddress(140)
+
+func loopbackAddress(first int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", first+(pid>>16)%100, (pid>>8)&255, max(1, pid&255))
+}
 
 func freeAddresses(n int) (addresses []string, err error) {
 	for range n {
-		ln, err := net.Listen("tcp", ownAddress+":0")
+		ln, err := net.Listen("tcp", controllerAddress+":0")
 		if err != nil {
 			return nil, err
 		}
