--- a/review/standin2/chaos.go
+++ b/review/standin2/chaos.go
@@ -163,7 +163,7 @@
 	if j.apart && inHall+1 > (j.shards+1)/2 {
 		c.world.breaks("wrong_place: apart %s in %s with %d there", t.Shard, k.machine.hall, inHall)
 	}
-	if !j.toldCancelled.IsZero() && time.Since(j.toldCancelled) > cancelS*time.Second {
+	if !j.toldCancelled.IsZero() && time.Since(j.toldCancelled).Seconds() > cancelS {
 		c.world.breaks("ran_cancelled: %s starts", t.Shard)
 	}
 	if !j.toldCancelled.IsZero() {
@@ -183,7 +183,7 @@
 	if j := c.js[id]; j != nil {
 		delete(j.on, t.Shard)
 		c.use[j.owner] -= j.vcpus
-		if !j.toldCancelled.IsZero() && time.Since(j.toldCancelled) > cancelS*time.Second+time.Second {
+		if !j.toldCancelled.IsZero() && time.Since(j.toldCancelled).Seconds() > cancelS+1 {
 			c.world.breaks("ran_cancelled: %s was on a machine %.1f s after", t.Shard, time.Since(j.toldCancelled).Seconds())
 		}
 	}
--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -46,6 +46,7 @@
 	count    int
 	capacity int             // machines that may exist at once
 	full     map[string]bool // zones without capacity
+	byType   map[string]int  // machines that may exist at once, by type; nil: no limit but capacity
 	asked    map[string]int  // machines asked for by type
 	refused  int             // requests for these zones
 }
@@ -103,9 +104,10 @@
 	}
 }
 
-func (c *cloud) running() (n int) {
+// running returns how many machines of a type exist, or of all types.
+func (c *cloud) running(flavor string) (n int) {
 	for _, m := range c.machines {
-		if m.gone.IsZero() {
+		if m.gone.IsZero() && (flavor == "" || m.flavor.Name == flavor) {
 			n++
 		}
 	}
@@ -133,7 +135,10 @@
 		writeBody(w, 503, map[string]string{"error": "no capacity"})
 		return
 	}
-	n := min(b.HowMany, c.capacity-c.running())
+	n := min(b.HowMany, c.capacity-c.running(""))
+	if c.byType != nil {
+		n = min(n, c.byType[b.Flavor]-c.running(b.Flavor))
+	}
 	if n <= 0 {
 		writeBody(w, 503, map[string]string{"error": "no capacity"})
 		return
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -117,7 +117,7 @@
 			k.mu.Unlock()
 			return
 		}
-		if time.Since(k.answered) > leaseS*time.Second {
+		if time.Since(k.answered).Seconds() > leaseS {
 			k.world.rec.add("worker %s: the lease of session %d ends with %d tasks", k.host, k.tenure, len(k.tasks))
 			for _, t := range k.tasks {
 				k.world.left(k, t, "lease ended")
@@ -168,13 +168,13 @@
 			time.Sleep(next)
 			continue
 		}
-		timer := time.NewTimer(next)
+		timer := time.NewTimer(time.Until(sent.Add(next))) // counted from report to report
 		select {
 		case <-timer.C:
 		case <-k.changed:
 			timer.Stop()
-			time.Sleep(max(0, 500*time.Millisecond-time.Since(sent)))
 		}
+		time.Sleep(max(0, 500*time.Millisecond-time.Since(sent)))
 	}
 }
 
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -72,21 +72,33 @@
 	anyOrder func(job string)
 }
 
-// settings are the fields of the settings that differ between cases.
+// settings are the fields of the settings that differ between cases. The others are those of
+// DEPLOY's example, or of the deployment that a case names.
 type settings struct {
-	teams string // in TOML
-	zones []string
-}
-
-// Settings that all cases share. They are those of the deployment voltaris-sofia in DEPLOY.
-const (
-	reportS = 3.0
-	leaseS  = 20
-	cancelS = 40
-	txnOps  = 48
-	listLag = 3 * time.Second
+	teams      string // in TOML, like objectives
+	objectives string
+	zones      []string
+	sites      []string // of the controllers; nil: those of DEPLOY's example
+}
+
+// Settings of a deployment: voltaris-sofia, unless a case takes another one.
+var (
+	reportS  = 3.0
+	leaseS   = 20.0
+	cancelS  = 40.0
+	txnOps   = 48
+	listLag  = 3 * time.Second
+	cloudRPS = 6.0
+	writeRPS = 100.0
+	limits   = "cpu_share = 0.096\nmem_mb = 98.0\nmax_connections = 800\n"
 )
 
+// useFurrowline takes the settings of the deployment furrowline-hosted.
+func useFurrowline() {
+	leaseS, cancelS, txnOps, listLag, cloudRPS, writeRPS = 29, 54, 12, 4*time.Second, 10, 60
+	limits = "cpu_share = 0.144\nmem_mb = 234.0\nmax_connections = 2500\n"
+}
+
 const oneTeam = "[[settings.teams]]\nname = \"grid-analytics\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"
 
 func newWorld(rec *record, flavors []flavor, capacity int, set settings) (*world, error) {
@@ -101,7 +113,10 @@
 		return nil, err
 	}
 	w.state, w.cloud = newStateService(), newCloud(w, flavors, capacity)
-	sites := []string{"sofia-north", "sofia-south", "sofia-north"}
+	sites := set.sites
+	if sites == nil {
+		sites = []string{"sofia-north", "sofia-south", "sofia-north"}
+	}
 	ports, err := freeAddresses(6)
 	if err != nil {
 		return nil, err
@@ -184,10 +199,10 @@
 		w.links[[2]int{i, j}] = l
 		fmt.Fprintf(&b, "[[seeds]]\nhost_name = %q\nsite = %q\nendpoint = %q\n\n", o.name, o.site, l.address)
 	}
-	fmt.Fprintf(&b, "[external]\ncloud = %q\nstate = %q\n\n[settings]\nnodes = 3\nzones = [\"%s\"]\nskew_ms = 5.0\n\n%s\n", cloudAddress, state, strings.Join(set.zones, `", "`), set.teams)
-	fmt.Fprintf(&b, "[settings.workers]\nreport_s = %.1f\nlease_s = %d.0\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = %d.0\n\n", reportS, leaseS, cancelS)
-	fmt.Fprintf(&b, "[settings.state]\nrps = 250.0\nwrite_rps = 100.0\nvalue_kb = 16.0\ntxn_ops = %d\n\n[settings.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n\n", txnOps)
-	b.WriteString("[settings.machine_limits]\ncpu_share = 0.096\nmem_mb = 98.0\nmax_connections = 800\n")
+	fmt.Fprintf(&b, "[external]\ncloud = %q\nstate = %q\n\n[settings]\nnodes = 3\nzones = [\"%s\"]\nskew_ms = 5.0\n\n%s\n%s\n", cloudAddress, state, strings.Join(set.zones, `", "`), set.teams, set.objectives)
+	fmt.Fprintf(&b, "[settings.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = %.1f\n\n", reportS, leaseS, cancelS)
+	fmt.Fprintf(&b, "[settings.state]\nrps = 250.0\nwrite_rps = %.1f\nvalue_kb = 16.0\ntxn_ops = %d\n\n[settings.cloud]\nrps = %.1f\nlist_lag_s = %.1f\n\n", writeRPS, txnOps, cloudRPS, listLag.Seconds())
+	b.WriteString("[settings.machine_limits]\n" + limits)
 	c.config = filepath.Join(w.dir, c.name+".toml")
 	return os.WriteFile(c.config, []byte(b.String()), 0o600)
 }
