--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -220,6 +220,9 @@
 func (w *world) startController(c *controller) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.alive() {
+		return nil
+	}
 	if c.log == nil {
 		log, err := os.Create(filepath.Join(w.dir, c.name+".log"))
 		if err != nil {
